Add the thin path of a query from caller to backend servers

Cause: nothing existed. Change: entry, aggregator, client, configuration acceptance, stand-in backend servers and platform, demo, formatter, linter and test frame.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+RUN = $(VENV)/bin/python
+STAMP = $(VENV)/.installed-$(shell cksum requirements.lock | cut -d' ' -f1)
+
+.PHONY: run serve test lint format bench soak generate
+
+$(STAMP): requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(RUN) -m pip install --quiet --requirement requirements.lock
+	$(RUN) -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+run: $(STAMP)  ## Start a small fleet, send a sample query, stop everything
+	$(RUN) -m demo.run
+
+serve: $(STAMP)  ## Keep the small fleet up until interrupted
+	$(RUN) -m demo.run --serve
+
+test: $(STAMP)  ## Run all tests
+	$(RUN) -m pytest
+	$(RUN) -m behave --format progress --no-capture tests/features
+
+lint: $(STAMP)
+	$(RUN) -m black --check --quiet fighinge standins tests benchmarks demo
+	$(RUN) -m ruff check fighinge standins tests benchmarks demo
+
+format: $(STAMP)
+	$(RUN) -m black --quiet fighinge standins tests benchmarks demo
+	$(RUN) -m ruff check --fix fighinge standins tests benchmarks demo
+
+bench: $(STAMP)  ## Measure every scenario and write docs/MEASUREMENTS.md
+	$(RUN) -m benchmarks --all
+
+SEED ?= 1
+soak: $(STAMP)  ## Check many more drawn histories than the tests do
+	$(RUN) -m tests.soak --seed $(SEED)
+
+generate: $(STAMP)  ## Re-make the committed protobuf code
+	$(RUN) -m grpc_tools.protoc --proto_path=. --python_out=. fighinge/wire/frames.proto
--- /dev/null
+++ b/fighinge/aggregator/http_client.py
@@ -0,0 +1,119 @@
+"""Calls to backend servers over HTTP, by tornado's curl client."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import pycurl
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPRequest
+
+from fighinge.aggregator.base import Address, CallFailure, CallFault
+from fighinge.curl import UNSENT_CODES, create_client, refuse_rewind
+from fighinge.messages import (
+    BackendAnswer,
+    BackendCancel,
+    BackendRefusal,
+    BackendRequest,
+    ServerState,
+)
+
+if TYPE_CHECKING:
+    from tornado.httpclient import HTTPResponse
+
+    from fighinge.curl import CurlClient
+
+CONNECT_TIMEOUT_S = 0.5
+CANCEL_TIMEOUT_S = 1.0
+MAX_CONCURRENT_CALLS = 1000
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class HttpBackendClient:
+    """Speaks the backend server protocol over kept-alive connections."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, client: CurlClient) -> None:
+        self._client = client
+
+    @classmethod
+    def create(cls) -> HttpBackendClient:
+        """Return a client with connections of its own."""
+        return cls(create_client(MAX_CONCURRENT_CALLS))
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    async def search(
+        self, address: Address, request: BackendRequest, timeout_s: float
+    ) -> BackendAnswer | BackendRefusal | CallFailure:
+        """Run a request on a backend server.
+
+        :param timeout_s: time after which the call ends as timed out
+        """
+        response = await self._post(address, "/v1/search", msgspec.json.encode(request), timeout_s)
+        if isinstance(response, CallFailure):
+            return response
+        if response.code == 200:
+            return _decode(response.body, BackendAnswer)
+        return _decode(response.body, BackendRefusal)
+
+    async def cancel(self, address: Address, call_id: str) -> None:
+        """Ask a backend server to stop running a call; a failure to do so changes nothing."""
+        body = msgspec.json.encode(BackendCancel(call_id))
+        await self._post(address, "/v1/cancel", body, CANCEL_TIMEOUT_S)
+
+    async def state(self, address: Address, timeout_s: float) -> ServerState | CallFailure:
+        """Ask a backend server for its load and the index versions that it holds."""
+        request = HTTPRequest(
+            _url(address, "/v1/state"),
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=timeout_s,
+        )
+        response = await self._fetch(request)
+        if isinstance(response, CallFailure):
+            return response
+        return _decode(response.body, ServerState)
+
+    async def _post(
+        self, address: Address, path: str, body: bytes, timeout_s: float
+    ) -> HTTPResponse | CallFailure:
+        request = HTTPRequest(
+            _url(address, path),
+            method="POST",
+            body=body,
+            headers=JSON_HEADERS,
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+            request_timeout=timeout_s,
+            prepare_curl_callback=refuse_rewind,
+        )
+        return await self._fetch(request)
+
+    async def _fetch(self, request: HTTPRequest) -> HTTPResponse | CallFailure:
+        try:
+            return await self._client.fetch(request, raise_error=False)
+        except CurlError as error:
+            return _failure(error)
+
+
+def _url(address: Address, path: str) -> str:
+    return f"http://{address.host}:{address.port}{path}"
+
+
+def _failure(error: CurlError) -> CallFailure:
+    reason = str(error)
+    if error.errno in UNSENT_CODES:
+        return CallFailure(CallFault.NOT_CONNECTED, reason)
+    if error.errno == pycurl.E_OPERATION_TIMEDOUT:
+        return CallFailure(CallFault.TIMEOUT, reason)
+    return CallFailure(CallFault.CONNECTION_LOST, reason)
+
+
+def _decode(body: bytes, message_type: type):
+    try:
+        return msgspec.json.decode(body, type=message_type)
+    except msgspec.DecodeError as error:
+        return CallFailure(CallFault.BAD_ANSWER, str(error))
--- /dev/null
+++ b/fighinge/cmd/entry.py
@@ -0,0 +1,63 @@
+"""Answers callers' queries and tells callers which entries to use."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import defopt
+import logbook
+
+from fighinge.entry.http_server import create_server
+from fighinge.entry.query_service import QueryService
+from fighinge.entry.snapshots import SnapshotChooser
+from fighinge.entry.stream_link import StreamLinks
+from fighinge.process import Node, run_process, wait_for_stop
+
+if TYPE_CHECKING:
+    from fighinge.queries import EntriesAnswer
+    from fighinge.settings import Settings
+
+logger = logbook.Logger(__name__)
+
+
+def entry(settings_file: str, *, check_settings: bool = False) -> None:
+    """Run an entry until SIGTERM.
+
+    :param settings_file: INI file with the settings of the host
+    :param check_settings: check the settings and exit
+    """
+    run_process(settings_file, serve, check_settings=check_settings)
+
+
+async def serve(settings: Settings) -> None:
+    """Serve callers until the process is told to stop."""
+    node = Node(settings, "entry")
+    snapshots = SnapshotChooser()
+    links = StreamLinks(node.fleet.aggregator_address, snapshots)
+    clock = asyncio.get_running_loop().time
+    service = QueryService(settings.address, node.fleet, links, snapshots, clock)
+    node.store.listen(lambda accepted: service.configure(accepted.version, accepted.document))
+
+    def entries(caller: str, zone: str) -> EntriesAnswer:
+        return node.fleet.entries(node.store.accepted.document, caller, zone)
+
+    server = create_server(service, entries)
+    node.start()
+    server.listen(settings.entry_port, settings.address)
+    logger.info("entry listens on {}:{}", settings.address, settings.entry_port)
+    await wait_for_stop()
+    server.stop()
+    await server.close_all_connections()
+    await links.close()
+    await node.stop()
+    logger.info("entry stopped")
+
+
+def main() -> None:
+    """Run the command."""
+    defopt.run(entry)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fighinge/configuration/platform_client.py
@@ -0,0 +1,64 @@
+"""Reads the operators' platform over HTTP."""
+
+from __future__ import annotations
+
+import msgspec
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPRequest
+from tornado.httputil import url_concat
+
+from fighinge.configuration.base import HostEntry, Values
+from fighinge.curl import create_client
+from fighinge.errors import ErrorKind, Failure
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 3.0
+MAX_CONCURRENT_CALLS = 10
+
+
+class PlatformClient:
+    """A :class:`ConfigurationService` and :class:`HostList` over HTTP.
+
+    Each reader names itself, since the platform counts calls by reader.
+    """
+
+    __slots__ = ("_client", "_reader", "_url")
+
+    def __init__(self, url: str, reader: str) -> None:
+        self._url = url.rstrip("/")
+        self._reader = reader
+        self._client = create_client(MAX_CONCURRENT_CALLS)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    async def read(self, prefix: str, after_revision: int, wait_s: float) -> Values | Failure:
+        """Return the values under a prefix that changed after a revision.
+
+        :param wait_s: how long the platform may wait for a change
+        """
+        query = {"prefix": prefix, "after": str(after_revision), "wait_s": str(wait_s)}
+        return await self._get(url_concat(f"{self._url}/v1/values", query), wait_s, Values)
+
+    async def hosts(self) -> list[HostEntry] | Failure:
+        """Return the hosts that the platform lists."""
+        return await self._get(f"{self._url}/v1/hosts", 0.0, list[HostEntry])
+
+    async def _get(self, url: str, wait_s: float, message_type):
+        request = HTTPRequest(
+            url,
+            headers={"X-Reader": self._reader},
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=READ_TIMEOUT_S + wait_s,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except CurlError as error:
+            return Failure(ErrorKind.NOT_READY, f"the platform does not answer: {error}")
+        if response.code != 200:
+            return Failure(ErrorKind.NOT_READY, f"the platform answers {response.code}")
+        try:
+            return msgspec.json.decode(response.body, type=message_type)
+        except msgspec.DecodeError as error:
+            return Failure(ErrorKind.NOT_READY, f"the platform's answer is broken: {error}")
--- /dev/null
+++ b/fighinge/model.py
@@ -0,0 +1,193 @@
+"""The operators' model: the configuration document and its rules."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from fighinge.errors import ErrorKind, Failure
+
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")]
+
+
+class Checked(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The base of every part of the document: unknown fields are errors."""
+
+
+class Zone(Checked, kw_only=True):
+    """A data centre; no new work goes to one that is out of service."""
+
+    region: str = "default"
+    in_service: bool = True
+
+
+class QueryClass(Checked, kw_only=True):
+    """A class of queries that share a weight and a budget of extra load.
+
+    A lower ``rank`` is more urgent and is kept alive longer under overload.
+    """
+
+    weight: Positive = 1
+    rank: Annotated[int, msgspec.Meta(ge=0, le=9)] = 5
+    extra_load_share: Share = 0.05
+
+
+class BackendServerEntry(Checked, kw_only=True):
+    """A backend server as its operator describes it."""
+
+    host: str
+    port: Port
+    zone: str
+    slots: Positive
+    connection_limit: Annotated[int, msgspec.Meta(ge=3)]
+    leaving: bool = False
+    cold: bool = False
+
+
+class ShardEntry(Checked, kw_only=True):
+    """A shard: a half-open key range and the backend servers that hold it.
+
+    An empty ``to_key`` means no upper end.
+    """
+
+    from_key: str = ""
+    to_key: str = ""
+    replicas: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
+
+    def covers(self, key: str) -> bool:
+        """Return whether the key lies in the shard's range."""
+        return self.from_key <= key and (not self.to_key or key < self.to_key)
+
+
+class Snapshot(Checked, kw_only=True):
+    """One index version of a collection and the shard map that goes with it."""
+
+    index_version: Positive
+    shards: dict[str, ShardEntry]
+
+
+class Collection(Checked, kw_only=True):
+    """Records that are searched together, as one or more snapshots."""
+
+    snapshots: Annotated[tuple[Snapshot, ...], msgspec.Meta(min_length=1)]
+
+    def snapshot(self, index_version: int) -> Snapshot | None:
+        """Return the snapshot of an index version, or none where it is gone."""
+        for snapshot in self.snapshots:
+            if snapshot.index_version == index_version:
+                return snapshot
+        return None
+
+
+class Service(Checked, kw_only=True):
+    """A query service over a collection.
+
+    ``rule`` says whether to answer early with less or to wait for coverage;
+    below ``minimum_coverage`` the answer is an error.
+    """
+
+    collection: str
+    query_class: str
+    tenant: str = "default"
+    deadline_s: Seconds = 1.0
+    rule: Literal["latency_first", "coverage_first"] = "coverage_first"
+    soft_deadline_s: Seconds | None = None
+    minimum_coverage: Share = 0.0
+
+
+class Document(Checked, kw_only=True):
+    """The whole configuration of an operator."""
+
+    zones: dict[Name, Zone]
+    classes: dict[Name, QueryClass]
+    backend_servers: dict[Name, BackendServerEntry]
+    collections: dict[Name, Collection]
+    services: dict[Name, Service]
+
+
+def decode_document(raw: bytes) -> Document | Failure:
+    """Decode and check a document.
+
+    :returns: the document, or a failure that names the field at fault
+    """
+    try:
+        document = msgspec.json.decode(raw, type=Document)
+    except msgspec.DecodeError as error:
+        return _failure_of(str(error))
+    return check_document(document) or document
+
+
+def check_document(document: Document) -> Failure | None:
+    """Check what the types cannot say: that names refer to something and ranges fit."""
+    for name, server in document.backend_servers.items():
+        if server.zone not in document.zones:
+            return _unknown(f"backend_servers.{name}.zone", server.zone)
+    for name, service in document.services.items():
+        if service.collection not in document.collections:
+            return _unknown(f"services.{name}.collection", service.collection)
+        if service.query_class not in document.classes:
+            return _unknown(f"services.{name}.query_class", service.query_class)
+        if service.soft_deadline_s and service.soft_deadline_s > service.deadline_s:
+            field = f"services.{name}.soft_deadline_s"
+            return Failure(ErrorKind.BAD_REQUEST, "is later than deadline_s", field)
+    for name, collection in document.collections.items():
+        failure = _check_collection(document, name, collection)
+        if failure is not None:
+            return failure
+    return None
+
+
+def _check_collection(document: Document, name: str, collection: Collection) -> Failure | None:
+    seen: set[int] = set()
+    for position, snapshot in enumerate(collection.snapshots):
+        field = f"collections.{name}.snapshots[{position}]"
+        if snapshot.index_version in seen:
+            reason = f"index version {snapshot.index_version} occurs twice"
+            return Failure(ErrorKind.BAD_REQUEST, reason, field)
+        seen.add(snapshot.index_version)
+        failure = _check_replicas(document, snapshot, field) or _check_ranges(snapshot, field)
+        if failure is not None:
+            return failure
+    return None
+
+
+def _check_replicas(document: Document, snapshot: Snapshot, field: str) -> Failure | None:
+    for shard_name, shard in snapshot.shards.items():
+        for replica in shard.replicas:
+            if replica not in document.backend_servers:
+                return _unknown(f"{field}.shards.{shard_name}.replicas", replica)
+    return None
+
+
+def _check_ranges(snapshot: Snapshot, field: str) -> Failure | None:
+    """Check that the shards' key ranges cover every key exactly once."""
+    ordered = sorted(snapshot.shards.items(), key=lambda item: item[1].from_key)
+    expected = ""
+    for position, (name, shard) in enumerate(ordered):
+        if shard.from_key != expected:
+            reason = f"starts at {shard.from_key!r}, but {expected!r} comes next"
+            return Failure(ErrorKind.BAD_REQUEST, reason, f"{field}.shards.{name}.from_key")
+        last = position == len(ordered) - 1
+        if last != (shard.to_key == ""):
+            reason = "must be empty for the last shard and for no other"
+            return Failure(ErrorKind.BAD_REQUEST, reason, f"{field}.shards.{name}.to_key")
+        expected = shard.to_key
+    if not ordered:
+        return Failure(ErrorKind.BAD_REQUEST, "has no shards", f"{field}.shards")
+    return None
+
+
+def _unknown(field: str, name: str) -> Failure:
+    return Failure(ErrorKind.BAD_REQUEST, f"{name!r} is not defined", field)
+
+
+def _failure_of(message: str) -> Failure:
+    """Split msgspec's message into the reason and the path of the field."""
+    reason, found, path = message.partition(" - at `$")
+    field = path.rstrip("`").lstrip(".") if found else ""
+    return Failure(ErrorKind.BAD_REQUEST, reason, field)
--- /dev/null
+++ b/fighinge/settings.py
@@ -0,0 +1,113 @@
+"""Settings of a process, read from an INI file and checked value by value."""
+
+from __future__ import annotations
+
+import configparser
+import ipaddress
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fighinge.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+Port = int
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """What a process learns from its settings file.
+
+    ``address`` is the host's own IP number; ports are the same on every host.
+    """
+
+    address: str
+    zone: str
+    platform_url: str
+    entry_port: int = 8080
+    aggregator_port: int = 8090
+    entry_gossip_port: int = 8070
+    aggregator_gossip_port: int = 8071
+    log_format: str = "text"
+    log_level: str = "INFO"
+
+
+SECTIONS: dict[str, dict[str, str]] = {
+    "host": {"address": "address", "zone": "zone"},
+    "platform": {"url": "platform_url"},
+    "ports": {
+        "entry": "entry_port",
+        "aggregator": "aggregator_port",
+        "entry_gossip": "entry_gossip_port",
+        "aggregator_gossip": "aggregator_gossip_port",
+    },
+    "log": {"format": "log_format", "level": "log_level"},
+}
+REQUIRED = (("host", "address"), ("host", "zone"), ("platform", "url"))
+LOG_FORMATS = ("text", "json")
+LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
+
+
+def read_settings(path: Path) -> Settings | Failure:
+    """Read and check a settings file.
+
+    :returns: the settings, or a failure that names file, section and key
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, configparser.Error, UnicodeDecodeError) as error:
+        return Failure(ErrorKind.BAD_REQUEST, str(error), str(path))
+    fields: dict[str, object] = {}
+    for section in parser.sections():
+        for key, text in parser[section].items():
+            name = SECTIONS.get(section, {}).get(key)
+            if name is None:
+                return _failure(path, section, key, "is not a setting")
+            value = _value(name, text)
+            if value is None:
+                return _failure(path, section, key, f"cannot be {text!r}")
+            fields[name] = value
+    for section, key in REQUIRED:
+        if SECTIONS[section][key] not in fields:
+            return _failure(path, section, key, "is missing")
+    settings = Settings(**fields)
+    return _check_ports(path, settings) or settings
+
+
+def _value(name: str, text: str) -> object | None:
+    if name.endswith("_port"):
+        return int(text) if text.isdecimal() and 1 <= int(text) <= 65535 else None
+    if name == "address":
+        return text if _is_ip(text) else None
+    if name == "platform_url":
+        return text if text.startswith("http://") else None
+    if name == "log_format":
+        return text if text in LOG_FORMATS else None
+    if name == "log_level":
+        return text if text in LOG_LEVELS else None
+    return text or None
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _check_ports(path: Path, settings: Settings) -> Failure | None:
+    seen: dict[int, str] = {}
+    for key, name in SECTIONS["ports"].items():
+        port = getattr(settings, name)
+        if port in seen:
+            return _failure(path, "ports", key, f"is {port}, which {seen[port]} has already")
+        seen[port] = key
+    return None
+
+
+def _failure(path: Path, section: str, key: str, reason: str) -> Failure:
+    return Failure(ErrorKind.BAD_REQUEST, reason, f"{path}: [{section}] {key}")
--- /dev/null
+++ b/fighinge/wire/codec.py
@@ -0,0 +1,117 @@
+"""Conversion between messages and the frames on the stream between processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fighinge.messages import GroupOutcome, GroupShards, GroupStatus, Search, SubQuery
+from fighinge.wire import frames_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+EXCHANGE_SERVICE = "fighinge.wire.Aggregation"
+EXCHANGE_METHOD = "Exchange"
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+CHANNEL_OPTIONS = (
+    ("grpc.enable_retries", 0),
+    ("grpc.service_config_disable_resolution", 1),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.max_send_message_length", MAX_FRAME_BYTES),
+    ("grpc.max_receive_message_length", MAX_FRAME_BYTES),
+)
+
+_search_decoder = msgspec.json.Decoder(Search)
+_outcome_decoder = msgspec.json.Decoder(GroupOutcome)
+_statuses_decoder = msgspec.json.Decoder(list[GroupStatus])
+
+
+def entry_frame(
+    sub_queries: Iterable[SubQuery], cancelled_calls: Iterable[int]
+) -> frames_pb2.EntryFrame:
+    """Return a frame with sub-queries and cancellations that meet."""
+    return frames_pb2.EntryFrame(
+        sub_queries=[_encode_sub_query(sub_query) for sub_query in sub_queries],
+        cancelled_calls=cancelled_calls,
+    )
+
+
+def aggregator_frame(
+    outcomes: Iterable[tuple[int, GroupOutcome]], statuses: list[GroupStatus]
+) -> frames_pb2.AggregatorFrame:
+    """Return a frame with outcomes, each behind the call that it answers."""
+    return frames_pb2.AggregatorFrame(
+        outcomes=[
+            frames_pb2.GroupOutcome(call=call, outcome_json=msgspec.json.encode(outcome))
+            for call, outcome in outcomes
+        ],
+        group_statuses_json=msgspec.json.encode(statuses) if statuses else b"",
+    )
+
+
+def decode_outcome(message: frames_pb2.GroupOutcome) -> GroupOutcome:
+    """Return the outcome that a frame carries.
+
+    :raises msgspec.DecodeError: if the peer sent something else
+    """
+    return _outcome_decoder.decode(message.outcome_json)
+
+
+def decode_statuses(frame: frames_pb2.AggregatorFrame) -> list[GroupStatus]:
+    """Return the group statuses that a frame carries.
+
+    :raises msgspec.DecodeError: if the peer sent something else
+    """
+    if not frame.group_statuses_json:
+        return []
+    return _statuses_decoder.decode(frame.group_statuses_json)
+
+
+def decode_sub_query(message: frames_pb2.SubQuery) -> SubQuery:
+    """Return the sub-query that a frame carries.
+
+    :raises msgspec.DecodeError: if the peer sent something else
+    """
+    return SubQuery(
+        call=message.call,
+        request_id=message.request_id,
+        service=message.service,
+        collection=message.collection,
+        index_version=message.index_version,
+        query_class=message.query_class,
+        tenant=message.tenant,
+        groups=tuple(GroupShards(group.group, tuple(group.shards)) for group in message.groups),
+        search=_search_decoder.decode(message.search_json),
+        remaining_s=message.remaining_s,
+        repeatable=message.repeatable,
+        fingerprint=message.fingerprint,
+        configuration_version=message.configuration_version,
+        takeover=message.takeover,
+    )
+
+
+def _encode_sub_query(sub_query: SubQuery) -> frames_pb2.SubQuery:
+    return frames_pb2.SubQuery(
+        call=sub_query.call,
+        request_id=sub_query.request_id,
+        service=sub_query.service,
+        collection=sub_query.collection,
+        index_version=sub_query.index_version,
+        query_class=sub_query.query_class,
+        tenant=sub_query.tenant,
+        groups=[
+            frames_pb2.GroupShards(group=group.group, shards=group.shards)
+            for group in sub_query.groups
+        ],
+        search_json=msgspec.json.encode(sub_query.search),
+        remaining_s=sub_query.remaining_s,
+        repeatable=sub_query.repeatable,
+        fingerprint=sub_query.fingerprint,
+        configuration_version=sub_query.configuration_version,
+        takeover=sub_query.takeover,
+    )
