--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 import tempfile
@@ -17,9 +18,10 @@
 from standins import backend, platform
 from standins.records import shard_map
 
-PLATFORM_HOST = "127.1.0.1"
+LOOPBACK_NET = f"127.{os.environ.get('FIGHINGE_NET', '1')}"
+PLATFORM_HOST = f"{LOOPBACK_NET}.0.1"
 PLATFORM_PORT = 8500
-BACKEND_HOST = "127.1.2.1"
+BACKEND_HOST = f"{LOOPBACK_NET}.2.1"
 FIRST_BACKEND_PORT = 9000
 ENTRY_PORT = 8080
 READY_TIMEOUT_S = 20.0
@@ -65,7 +67,7 @@
 def host_entries() -> list[HostEntry]:
     """Return the hosts of the demo."""
     return [
-        HostEntry(f"127.1.1.{zone * HOSTS_PER_ZONE + number + 1}", ZONES[zone])
+        HostEntry(f"{LOOPBACK_NET}.1.{zone * HOSTS_PER_ZONE + number + 1}", ZONES[zone])
         for zone in range(len(ZONES))
         for number in range(HOSTS_PER_ZONE)
     ]
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,29 @@
+"""Runs coroutines in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import looptime
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+
+def run(work: Coroutine):
+    """Run a coroutine to its end; every wait takes no real time.
+
+    The caller's timeouts, sleeps and ``loop.time()`` all follow the virtual clock.
+    """
+    loop = looptime.new_event_loop(start=1000.0, end=100_000.0)
+    try:
+        asyncio.set_event_loop(loop)
+        return loop.run_until_complete(work)
+    finally:
+        pending = asyncio.all_tasks(loop)
+        for task in pending:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        asyncio.set_event_loop(None)
+        loop.close()
