--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -8,9 +8,10 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from fighinge.configuration.base import HostEntry
 from fighinge.configuration.history import BASE_KEY
@@ -18,12 +19,18 @@
 from standins import backend, platform
 from standins.records import shard_map
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from tornado.httpserver import HTTPServer
+
 LOOPBACK_NET = f"127.{os.environ.get('FIGHINGE_NET', '1')}"
 PLATFORM_HOST = f"{LOOPBACK_NET}.0.1"
 PLATFORM_PORT = 8500
 BACKEND_HOST = f"{LOOPBACK_NET}.2.1"
 FIRST_BACKEND_PORT = 9000
 ENTRY_PORT = 8080
+ROLES = ("aggregator", "entry")
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 ZONES = ("sa-1", "sa-2")
@@ -64,75 +71,92 @@
     }
 
 
-def host_entries() -> list[HostEntry]:
-    """Return the hosts of the demo."""
+def host_entries(
+    zones: Sequence[str] = ZONES, hosts_per_zone: int = HOSTS_PER_ZONE
+) -> list[HostEntry]:
+    """Return hosts on loopback addresses, spread over zones; those of the demo by default."""
     return [
-        HostEntry(f"{LOOPBACK_NET}.1.{zone * HOSTS_PER_ZONE + number + 1}", ZONES[zone])
-        for zone in range(len(ZONES))
-        for number in range(HOSTS_PER_ZONE)
+        HostEntry(f"{LOOPBACK_NET}.1.{position * hosts_per_zone + number + 1}", zone)
+        for position, zone in enumerate(zones)
+        for number in range(hosts_per_zone)
     ]
 
 
 class Fleet:
-    """The processes of the demo and the stand-ins beside them."""
-
-    def __init__(self) -> None:
-        self.hosts = host_entries()
-        self.platform = platform.StandinPlatform()
-        self.platform.hosts = self.hosts
-        self.servers: list[backend.StandinServer] = []
-        self._listening = []
+    """Real processes of every role on some hosts, and the stand-ins beside them."""
+
+    def __init__(self, raw_document: bytes, hosts: list[HostEntry], settings: str = "") -> None:
+        """Describe a fleet, not yet started.
+
+        :param settings: further INI text for the settings file of every process
+        """
+        self.raw_document = raw_document
+        self.hosts = hosts
+        self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}
+        self._settings = settings
+        self._listening: list[HTTPServer] = []
         self._directory = tempfile.TemporaryDirectory(prefix="fighinge-")
-        self.processes: list[asyncio.subprocess.Process] = []
 
     async def start(self) -> None:
         """Start everything and wait until every entry is ready."""
-        raw = msgspec.json.encode(document())
-        decoded = decode_document(raw)
-        for name in decoded.backend_servers:
-            server = backend.StandinServer(name, decoded, seed=1)
-            self.servers.append(server)
-            self._listening.append(backend.listen(server))
-        self._listening.append(platform.listen(self.platform, PLATFORM_HOST, PLATFORM_PORT))
-        base = msgspec.json.encode({"version": 1, "document": msgspec.Raw(raw)})
-        await self.platform.publish(BASE_KEY, base)
+        await self.start_standins()
         for host in self.hosts:
-            for role in ("aggregator", "entry"):
-                self.processes.append(await self._start_process(role, host))
-        await asyncio.gather(*(self._wait_ready(host) for host in self.hosts))
+            for role in ROLES:
+                await self.start_process(role, host)
+        await asyncio.gather(*(self.wait_ready(host) for host in self.hosts))
 
     async def stop(self) -> None:
         """Stop every process gracefully, then the stand-ins."""
-        for process in self.processes:
+        for process in self.processes.values():
             if process.returncode is None:
                 process.send_signal(signal.SIGTERM)
-        async with asyncio.timeout(STOP_TIMEOUT_S):
-            await asyncio.gather(*(process.wait() for process in self.processes))
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await asyncio.gather(*(process.wait() for process in self.processes.values()))
+        finally:
+            await self.stop_standins()
+            self._directory.cleanup()
+
+    async def start_standins(self) -> None:
+        """Serve the platform and the backend servers from this process."""
+        document = decode_document(self.raw_document)
+        for name in document.backend_servers:
+            self._listening.append(backend.listen(backend.StandinServer(name, document, seed=1)))
+        stand_in = platform.StandinPlatform()
+        stand_in.hosts = self.hosts
+        self._listening.append(platform.listen(stand_in, PLATFORM_HOST, PLATFORM_PORT))
+        await stand_in.publish(BASE_KEY, self.base())
+
+    async def stop_standins(self) -> None:
+        """End the stand-ins."""
         for server in self._listening:
             server.stop()
-        self._directory.cleanup()
 
-    async def _start_process(self, role: str, host: HostEntry) -> asyncio.subprocess.Process:
+    def base(self) -> bytes:
+        """Return the document as the base that operators publish."""
+        return msgspec.json.encode({"version": 1, "document": msgspec.Raw(self.raw_document)})
+
+    async def start_process(self, role: str, host: HostEntry) -> None:
+        """Start one role on a host."""
         path = Path(self._directory.name) / f"{host.address}.ini"
         path.write_text(
             f"[host]\naddress = {host.address}\nzone = {host.zone}\n"
             f"[platform]\nurl = http://{PLATFORM_HOST}:{PLATFORM_PORT}\n"
             f"[ports]\nentry = {ENTRY_PORT}\n"
-            f"[log]\nlevel = WARNING\n",
+            f"[log]\nlevel = WARNING\n{self._settings}",
             encoding="utf-8",
         )
-        return await asyncio.create_subprocess_exec(
+        self.processes[role, host.address] = await asyncio.create_subprocess_exec(
             sys.executable, "-m", f"fighinge.cmd.{role}", str(path)
         )
 
-    async def _wait_ready(self, host: HostEntry) -> None:
+    async def wait_ready(self, host: HostEntry) -> None:
+        """Wait until the entry of a host takes queries."""
         client = AsyncHTTPClient()
         async with asyncio.timeout(READY_TIMEOUT_S):
             while True:
                 try:
                     await client.fetch(f"http://{host.address}:{ENTRY_PORT}/readyz")
                     return
-                except OSError:
-                    await asyncio.sleep(0.1)
-                except Exception:
+                except (OSError, HTTPError):
                     await asyncio.sleep(0.1)
--- a/demo/run.py
+++ b/demo/run.py
@@ -7,8 +7,9 @@
 import sys
 
 import defopt
+import msgspec
 
-from demo.fleet import ENTRY_PORT, Fleet
+from demo.fleet import ENTRY_PORT, Fleet, document, host_entries
 
 SETTLE_S = 1.5
 
@@ -22,7 +23,7 @@
 
 
 async def _run(*, serve: bool) -> None:
-    fleet = Fleet()
+    fleet = Fleet(msgspec.json.encode(document()), host_entries())
     print(f"starting {len(fleet.hosts)} hosts, each with an entry and an aggregator")
     code = 1
     try:
@@ -33,7 +34,7 @@
             await _serve(fleet)
     finally:
         await fleet.stop()
-    stopped = [process.returncode for process in fleet.processes]
+    stopped = [process.returncode for process in fleet.processes.values()]
     print(f"stopped {len(stopped)} processes, exit codes {sorted(set(stopped))}")
     sys.exit(code or max(stopped))
 
