--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop measurements of real fleets on loopback addresses."""
--- /dev/null
+++ b/benchmarks/driver.py
@@ -0,0 +1,168 @@
+"""Runs a scenario: fleet, load and faults for each policy, and what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from benchmarks import results
+from benchmarks.fleet import MeasuredFleet
+from benchmarks.load import Callers, Sample, run_stream
+from benchmarks.promises import violations_of
+from demo.fleet import ENTRY_PORT
+from fighinge.queries import QueryError
+
+if TYPE_CHECKING:
+    from benchmarks.scenarios import Scenario, Step
+    from benchmarks.usage import Usage
+    from standins.behaviour import Counters
+
+PLAIN, FIGHINGE, FLOOR = "plain", "fighinge", "floor"
+SETTINGS = {PLAIN: "[aggregator]\npolicy = plain\n", FIGHINGE: "", FLOOR: ""}
+ROLES = ("entry", "aggregator")
+
+
+class Run(msgspec.Struct, kw_only=True):
+    """One step under one policy, as its figures are computed from it."""
+
+    policy: str
+    step: Step
+    fleet: MeasuredFleet
+    samples: list[Sample]
+    took_s: float
+    usage: dict[str, Usage]
+    counters: dict[str, Counters]
+    executions: dict[str, dict[str, int]]
+    notes: dict[str, object]
+
+    def counted(self, name: str) -> int:
+        """Return the sum of a counter over all backend servers."""
+        return sum(getattr(counters, name) for counters in self.counters.values())
+
+    def extra_load(self) -> float:
+        """Return the calls above one per group and query, as a share."""
+        refused = sum(
+            isinstance(sample.result, QueryError) and sample.result.not_run
+            for sample in self.samples
+        )
+        needed = (len(self.samples) - refused) * self.step.shape.groups
+        return round(self.counted("searches") / needed - 1, 4) if needed else 0.0
+
+
+async def run_scenario(scenario: Scenario, seed: int) -> results.ScenarioResult:
+    """Run every policy of a scenario, one after the other."""
+    policies = [await _run_policy(scenario, policy, seed) for policy in scenario.policies]
+    return results.ScenarioResult(scenario.name, seed, [result.flat() for result in policies])
+
+
+async def _run_policy(scenario: Scenario, policy: str, seed: int) -> results.PolicyResult:
+    runs = []
+    for step in scenario.steps:
+        progress(f"{scenario.name}: {policy} {step.label}".rstrip())
+        runs.append(await _run_step(scenario, step, policy, seed))
+    samples = [sample for run in runs for sample in run.samples]
+    violations: dict[str, int] = {}
+    for run in runs:
+        _count_violations(run, violations)
+    figures = scenario.figures(runs) if scenario.figures else {}
+    return results.PolicyResult(
+        policy=policy,
+        latency_ms=results.percentiles(samples),
+        coverage=results.coverage(samples),
+        extra_load=runs[-1].extra_load(),
+        errors=results.errors_by_kind(samples),
+        violations=violations,
+        queries=len(samples),
+        figures=figures,
+    )
+
+
+async def _run_step(scenario: Scenario, step: Step, policy: str, seed: int) -> Run:
+    samples: list[Sample] = []
+    notes: dict[str, object] = {}
+    async with MeasuredFleet(step.shape, SETTINGS[policy], seed) as fleet:
+        callers = Callers(fleet, step.shape, lambda address: f"http://{address}:{ENTRY_PORT}")
+        try:
+            await _load(step, callers, seed + 1, step.warm_up_s, [])
+            counters = await fleet.counters()
+            usage = {role: fleet.usage(role) for role in ROLES}
+            started_s = time.monotonic()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(_load(step, callers, seed, step.duration_s, samples))
+                for fault in scenario.faults if policy != FLOOR else ():
+                    group.create_task(_inflict(fault, fleet, notes))
+            took_s = time.monotonic() - started_s
+            return Run(
+                policy=policy,
+                step=step,
+                fleet=fleet,
+                samples=samples,
+                took_s=took_s,
+                usage={role: fleet.usage(role).since(usage[role]) for role in ROLES},
+                counters=_since(await fleet.counters(), counters),
+                executions=await fleet.executions() if scenario.checks_executions else {},
+                notes=notes,
+            )
+        finally:
+            callers.close()
+
+
+async def _load(
+    step: Step, callers: Callers, seed: int, duration_s: float, samples: list[Sample]
+) -> None:
+    async with asyncio.TaskGroup() as group:
+        for stream in step.streams:
+            work = run_stream(stream, callers, seed, duration_s, samples.append)
+            group.create_task(work)
+        group.create_task(asyncio.sleep(duration_s))
+
+
+async def _inflict(fault, fleet: MeasuredFleet, notes: dict[str, object]) -> None:
+    await asyncio.sleep(fault.at_s)
+    progress(f"  {fault.at_s:.1f} s: {fault.name}")
+    await fault.act(fleet, notes)
+
+
+def _since(now: dict[str, Counters], earlier: dict[str, Counters]) -> dict[str, Counters]:
+    """Return the counts since an earlier reading; peaks and counts by name stay as they are."""
+    changed = {}
+    for server, counters in now.items():
+        counts = msgspec.structs.asdict(counters)
+        for name, before in msgspec.structs.asdict(earlier[server]).items():
+            if isinstance(before, int) and not name.startswith("peak"):
+                counts[name] -= before
+        changed[server] = type(counters)(**counts)
+    return changed
+
+
+def _count_violations(run: Run, violations: dict[str, int]) -> None:
+    for sample in run.samples:
+        for promise in violations_of(sample, run.fleet.document):
+            violations[promise] = violations.get(promise, 0) + 1
+    if run.executions:
+        _count_executions(run, violations)
+
+
+def _count_executions(run: Run, violations: dict[str, int]) -> None:
+    """Check against the stand-ins' records that nothing ran twice or against its refusal."""
+    shape = run.step.shape
+    groups = [shape.server_names(group) for group in range(shape.groups)]
+    for sample in run.samples:
+        request_id, result = sample.request.request_id, sample.result
+        ran = [
+            sum(run.executions[server].get(request_id, 0) for server in servers)
+            for servers in groups
+        ]
+        if not sample.request.repeatable and max(ran) > 1:
+            violations["at_most_once"] = violations.get("at_most_once", 0) + 1
+        if isinstance(result, QueryError) and result.not_run and max(ran) > 0:
+            violations["not_run"] = violations.get("not_run", 0) + 1
+
+
+def progress(text: str) -> None:
+    """Tell what is being done."""
+    print(f"{time.strftime('%H:%M:%S')} {text}", file=sys.stderr, flush=True)
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,182 @@
+"""A fleet under measurement: stand-in processes, usage of each process, control of faults."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from benchmarks.usage import Usage, read_usage
+from demo.fleet import BACKEND_HOST, PLATFORM_HOST, PLATFORM_PORT, Fleet
+from fighinge.configuration.history import BASE_KEY, PATCH_PREFIX
+from fighinge.model import decode_document
+from standins import platform
+from standins.behaviour import Counters
+
+if TYPE_CHECKING:
+    from benchmarks.shapes import Shape
+    from fighinge.configuration.base import HostEntry
+
+FIRST_CONTROL_PORT = 8900
+START_TIMEOUT_S = 15.0
+CONTROL_TIMEOUT_S = 10.0
+
+
+class MeasuredFleet(Fleet):
+    """A fleet whose backend servers run in processes of their own."""
+
+    def __init__(self, shape: Shape, settings: str, seed: int) -> None:
+        super().__init__(shape.document(), shape.hosts(), settings)
+        self.shape = shape
+        self.document = decode_document(self.raw_document)
+        self.platform = platform.StandinPlatform()
+        self.patches = 0
+        self._seed = seed
+        self._standins: list[asyncio.subprocess.Process] = []
+        self._control_of: dict[str, str] = {}
+        self._controls: list[str] = []
+        self._http = AsyncHTTPClient(force_instance=True, max_clients=200)
+
+    async def __aenter__(self) -> MeasuredFleet:
+        """Start everything."""
+        try:
+            await self.start()
+        except BaseException:
+            await self.kill_all()
+            raise
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """Stop everything, by force where it does not stop by itself."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+        try:
+            await self.stop()
+        except TimeoutError:
+            print("a process did not stop in time", file=sys.stderr)
+        finally:
+            await self.kill_all()
+
+    async def kill_all(self) -> None:
+        """End every process that is left."""
+        for process in (*self.processes.values(), *self._standins):
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    async def start_standins(self) -> None:
+        """Start the platform here and the backend servers in other processes."""
+        self.platform.hosts = self.hosts
+        self._listening.append(platform.listen(self.platform, PLATFORM_HOST, PLATFORM_PORT))
+        await self.platform.publish(BASE_KEY, self.base())
+        path = Path(self._directory.name) / "document.json"
+        path.write_bytes(self.raw_document)
+        names = list(self.document.backend_servers)
+        for number in range(min(self.shape.standin_processes, len(names))):
+            share = names[number :: self.shape.standin_processes]
+            control = f"{BACKEND_HOST}:{FIRST_CONTROL_PORT + number}"
+            self._controls.append(control)
+            self._control_of.update(dict.fromkeys(share, control))
+            await self._start_standin(path, share, control)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await asyncio.gather(*(self._wait_for(control) for control in self._controls))
+
+    async def _start_standin(self, path: Path, names: list[str], control: str) -> None:
+        command = ["-m", "standins.serve_backends", str(path), "--servers", ",".join(names)]
+        behaviour = msgspec.json.encode(self.shape.initial_behaviour()).decode()
+        options = ["--behaviour", behaviour, "--control", control, "--seed", str(self._seed)]
+        self._standins.append(
+            await asyncio.create_subprocess_exec(sys.executable, *command, *options)
+        )
+
+    async def _wait_for(self, control: str) -> None:
+        while True:
+            try:
+                await self._http.fetch(f"http://{control}/counters")
+                return
+            except OSError:
+                await asyncio.sleep(0.05)
+
+    async def stop_standins(self) -> None:
+        """End the stand-ins."""
+        await super().stop_standins()
+        for process in self._standins:
+            if process.returncode is None:
+                process.terminate()
+
+    async def control(self, server: str, path: str, body: bytes = b"", method: str = "PUT") -> None:
+        """Send a control request about one backend server."""
+        url = f"http://{self._control_of[server]}/servers/{server}/{path}"
+        await self._http.fetch(
+            HTTPRequest(url, method=method, body=body, request_timeout=CONTROL_TIMEOUT_S)
+        )
+
+    async def behave(self, servers: list[str], **fields: object) -> None:
+        """Change how some backend servers serve."""
+        body = msgspec.json.encode(fields)
+        await asyncio.gather(*(self.control(name, "behaviour", body) for name in servers))
+
+    async def counters(self) -> dict[str, Counters]:
+        """Return what each backend server has counted, without executions by request."""
+        answers = await asyncio.gather(
+            *(self._http.fetch(f"http://{control}/counters") for control in self._controls)
+        )
+        counters: dict[str, Counters] = {}
+        for answer in answers:
+            counters.update(msgspec.json.decode(answer.body, type=dict[str, Counters]))
+        return counters
+
+    async def executions(self) -> dict[str, dict[str, int]]:
+        """Return how often each request ran, by backend server."""
+        found: dict[str, dict[str, int]] = {}
+        for server, control in self._control_of.items():
+            url = f"http://{control}/servers/{server}/counters?executions=1"
+            answer = await self._http.fetch(url, request_timeout=CONTROL_TIMEOUT_S)
+            found[server] = msgspec.json.decode(answer.body, type=Counters).executions
+        return found
+
+    def servers_in(self, zone: str) -> list[str]:
+        """Return the backend servers of a zone, of all zones if it is empty."""
+        return [
+            name
+            for name, entry in self.document.backend_servers.items()
+            if zone in ("", entry.zone)
+        ]
+
+    def usage(self, role: str) -> Usage:
+        """Return what the processes of a role have used so far."""
+        pids = [
+            process.pid
+            for (its_role, _address), process in self.processes.items()
+            if its_role == role and process.returncode is None
+        ]
+        return read_usage(pids)
+
+    async def publish_patch(self, operations: list[dict]) -> int:
+        """Publish a patch as an operator does and return the version that it makes."""
+        self.patches += 1
+        patch = {"applies_to": self.patches, "operations": operations}
+        key = f"{PATCH_PREFIX}{self.patches:08d}"
+        await self.platform.publish(key, msgspec.json.encode(patch))
+        return self.patches + 1
+
+    def signal(self, role: str, host: HostEntry, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        os.kill(self.processes[role, host.address].pid, number)
+
+    async def restart_process(self, role: str, host: HostEntry) -> int:
+        """Stop a process gracefully, start it again and return its exit code."""
+        process = self.processes[role, host.address]
+        process.terminate()
+        code = await process.wait()
+        await self.start_process(role, host)
+        if role == "entry":
+            await self.wait_ready(host)
+        return code
--- /dev/null
+++ b/benchmarks/usage.py
@@ -0,0 +1,48 @@
+"""Processor time, memory and loopback traffic, read from the kernel."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import msgspec
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """What some processes have used together; ``rss_bytes`` is the largest single one."""
+
+    processor_s: float
+    rss_bytes: int
+    loopback_bytes: int
+
+    def since(self, earlier: Usage) -> Usage:
+        """Return what was used since an earlier reading."""
+        return Usage(
+            self.processor_s - earlier.processor_s,
+            self.rss_bytes,
+            self.loopback_bytes - earlier.loopback_bytes,
+        )
+
+
+def read_usage(pids: list[int]) -> Usage:
+    """Read the usage of processes; one that has gone counts as nothing."""
+    processor_s, rss_bytes = 0.0, 0
+    for pid in pids:
+        try:
+            stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        processor_s += (int(stat[11]) + int(stat[12])) / TICKS_PER_S
+        rss_bytes = max(rss_bytes, int(stat[21]) * PAGE_BYTES)
+    return Usage(processor_s, rss_bytes, _loopback_bytes())
+
+
+def _loopback_bytes() -> int:
+    for line in Path("/proc/net/dev").read_text().splitlines():
+        name, _colon, counts = line.partition(":")
+        if name.strip() == "lo":
+            return int(counts.split()[0])
+    return 0
