Give a sub-query a way to be cancelled at its aggregator

An entry that gives a sub-query up has no way to stop its calls at the backend servers. The aggregator's service takes the name of the stream with each sub-query and cancels by stream and call, or all of a stream.

--- a/fighinge/aggregator/service.py
+++ b/fighinge/aggregator/service.py
@@ -33,7 +33,7 @@
     A group is taken up when it is first asked for or when this process owns it.
     """
 
-    __slots__ = ("_client", "_clock", "_document", "_group_map", "_groups", "_tasks")
+    __slots__ = ("_client", "_clock", "_document", "_group_map", "_groups", "_running", "_tasks")
 
     def __init__(self, client: BackendClient, clock: Callable[[], float]) -> None:
         self._client = client
@@ -42,6 +42,7 @@
         self._group_map: GroupMap | None = None
         self._groups: dict[str, ReplicaGroup] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._running: dict[str, dict[int, list[asyncio.Task]]] = {}
 
     def configure(self, document: Document) -> None:
         """Put a configuration document in force; unchanged groups keep their state."""
@@ -57,13 +58,45 @@
         """Return what is believed of each group taken up."""
         return [group.status() for group in self._groups.values()]
 
-    def submit(self, sub_query: SubQuery, reply: Callable[[int, GroupOutcome], None]) -> None:
-        """Start a sub-query; ``reply`` gets one outcome for each group of it."""
+    def submit(
+        self,
+        sub_query: SubQuery,
+        reply: Callable[[int, GroupOutcome], None],
+        entry: str = "",
+    ) -> None:
+        """Start a sub-query; ``reply`` gets one outcome for each group of it.
+
+        :param entry: names the stream that the sub-query came by; see :meth:`cancel`
+        """
         deadline_s = self._clock() + sub_query.remaining_s
-        for wanted in sub_query.groups:
-            task = asyncio.create_task(self._run(sub_query, wanted, deadline_s, reply))
+        tasks = [
+            asyncio.create_task(self._run(sub_query, wanted, deadline_s, reply))
+            for wanted in sub_query.groups
+        ]
+        self._running.setdefault(entry, {})[sub_query.call] = tasks
+        for task in tasks:
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(
+                lambda done: self._ended(done, entry, sub_query.call),
+            )
+
+    def cancel(self, entry: str, call: int) -> None:
+        """Give a sub-query up: stop its calls at the backend servers and reply nothing more."""
+        for task in self._running.get(entry, {}).get(call, ()):
+            task.cancel()
+
+    def cancel_all(self, entry: str) -> None:
+        """Give up every sub-query of an entry whose stream was lost."""
+        for call in list(self._running.get(entry, ())):
+            self.cancel(entry, call)
+
+    def _ended(self, task: asyncio.Task, entry: str, call: int) -> None:
+        self._tasks.discard(task)
+        calls = self._running.get(entry, {})
+        if all(other.done() for other in calls.get(call, ())):
+            calls.pop(call, None)
+        if not calls:
+            self._running.pop(entry, None)
 
     async def _run(
         self,
