Run requests that are not repeatable under tickets

Cause: a caller that sends a request again to another entry could run it twice. Change: each entry process mints tickets with GET /v1/entries; a ticket runs once, in the process that minted it; other entries forward to it; a request sent again while it runs gets the answer of the one run; a ticket whose process is gone gives outcome_unknown.

--- a/fighinge/cmd/entry.py
+++ b/fighinge/cmd/entry.py
@@ -8,10 +8,13 @@
 import defopt
 import logbook
 
+from fighinge.entry.at_most_once import AtMostOnceQueries
 from fighinge.entry.http_server import create_server
+from fighinge.entry.peer_entries import HttpPeerEntries
 from fighinge.entry.query_service import QueryService
 from fighinge.entry.snapshots import SnapshotChooser
 from fighinge.entry.stream_link import StreamLinks
+from fighinge.entry.tickets import TicketRegistry
 from fighinge.process import Node, run_process, wait_for_stop
 
 if TYPE_CHECKING:
@@ -20,6 +23,8 @@
 
 logger = logbook.Logger(__name__)
 
+TICKETS_IN_ANSWER = 4
+
 
 def entry(settings_file: str, *, check_settings: bool = False) -> None:
     """Run an entry until SIGTERM.
@@ -39,16 +44,22 @@
     service = QueryService(settings.address, node.fleet, links, snapshots, clock)
     node.store.listen(lambda accepted: service.configure(accepted.version, accepted.document))
 
+    tickets = TicketRegistry.create(settings.address)
+    peers = HttpPeerEntries.create(node.fleet)
+
     def entries(caller: str, zone: str) -> EntriesAnswer:
-        return node.fleet.entries(node.store.accepted.document, caller, zone)
+        answer = node.fleet.entries(node.store.accepted.document, caller, zone)
+        answer.tickets = tickets.mint(TICKETS_IN_ANSWER, clock())
+        return answer
 
-    server = create_server(service, entries)
+    server = create_server(AtMostOnceQueries(service, tickets, peers, clock), entries)
     node.start()
     server.listen(settings.entry_port, settings.address)
     logger.info("entry listens on {}:{}", settings.address, settings.entry_port)
     await wait_for_stop()
     server.stop()
     await server.close_all_connections()
+    peers.close()
     await links.close()
     await node.stop()
     logger.info("entry stopped")
--- a/fighinge/entry/http_server.py
+++ b/fighinge/entry/http_server.py
@@ -9,6 +9,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from fighinge.entry.peer_entries import FORWARDED_HEADER
 from fighinge.entry.query_service import query_error
 from fighinge.errors import ANSWERS, ErrorKind, Failure
 from fighinge.queries import QueryError, QueryRequest
@@ -16,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from fighinge.entry.query_service import QueryService
+    from fighinge.entry.at_most_once import AtMostOnceQueries
     from fighinge.queries import EntriesAnswer
 
 MAX_BODY_BYTES = 1024 * 1024
@@ -51,7 +52,7 @@
 class QueryHandler(BaseHandler):
     """``POST /v1/services/NAME/query``"""
 
-    def initialize(self, service: QueryService) -> None:
+    def initialize(self, service: AtMostOnceQueries) -> None:
         """Take what the application hands to each request."""
         self._service = service
 
@@ -64,7 +65,8 @@
             failure = Failure(ErrorKind.BAD_REQUEST, reason, path.rstrip("`"))
             self.write_query_error(query_error("", failure))
             return
-        result = await self._service.query(name, request)
+        forwarded = FORWARDED_HEADER in self.request.headers
+        result = await self._service.query(name, request, forwarded=forwarded)
         if isinstance(result, QueryError):
             self.write_query_error(result)
         else:
@@ -96,7 +98,7 @@
 class ReadyHandler(BaseHandler):
     """``GET /readyz``: the process takes queries."""
 
-    def initialize(self, service: QueryService) -> None:
+    def initialize(self, service: AtMostOnceQueries) -> None:
         """Take what the application hands to each request."""
         self._service = service
 
@@ -116,7 +118,7 @@
 
 
 def create_server(
-    service: QueryService, entries: Callable[[str, str], EntriesAnswer]
+    service: AtMostOnceQueries, entries: Callable[[str, str], EntriesAnswer]
 ) -> HTTPServer:
     """Return the HTTP server of an entry, not yet listening."""
     application = Application(
--- a/fighinge/membership/fleet.py
+++ b/fighinge/membership/fleet.py
@@ -51,6 +51,12 @@
         """Return where an aggregator listens."""
         return f"{name}:{self._ports.aggregator}"
 
+    def entry_url(self, name: str) -> str | None:
+        """Return the URL of an entry, or none where no such entry is a member."""
+        if any(host.address == name for host in self._hosts):
+            return f"http://{name}:{self._ports.entry}"
+        return None
+
     def entries(self, document: Document, caller: str, zone: str) -> EntriesAnswer:
         """Tell a caller which entries to use, those of its zone first."""
         usable = [host for host in self._hosts if zone_in_service(document, host.zone)]
