Give the stand-ins the limits and faults that tests need

Cause: the other parts need a backend server that can be cold, lost, misled about or cut at each point of a request, and a platform that fails. Change: StandinServer has warmth, identity, restart, crash on a marked request, drops, misleading reports, spoiled records and counters; it keeps time by the running loop. The HTTP sides are modules of their own (backend_http.listen, platform_http.listen), with serve_backends and serve_platform as processes.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -16,7 +16,9 @@
 from fighinge.configuration.base import HostEntry
 from fighinge.configuration.history import BASE_KEY
 from fighinge.model import decode_document
-from standins import backend, platform
+from standins import backend_http, platform_http
+from standins.backend import StandinServer
+from standins.platform import StandinPlatform
 from standins.records import shard_map
 
 if TYPE_CHECKING:
@@ -93,6 +95,7 @@
         self.raw_document = raw_document
         self.hosts = hosts
         self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}
+        self.servers: dict[str, StandinServer] = {}
         self._settings = settings
         self._listening: list[HTTPServer] = []
         self._directory = tempfile.TemporaryDirectory(prefix="fighinge-")
@@ -121,10 +124,12 @@
         """Serve the platform and the backend servers from this process."""
         document = decode_document(self.raw_document)
         for name in document.backend_servers:
-            self._listening.append(backend.listen(backend.StandinServer(name, document, seed=1)))
-        stand_in = platform.StandinPlatform()
+            server = StandinServer(name, document, seed=1)
+            self.servers[name] = server
+            self._listening.append(backend_http.listen(server))
+        stand_in = StandinPlatform()
         stand_in.hosts = self.hosts
-        self._listening.append(platform.listen(stand_in, PLATFORM_HOST, PLATFORM_PORT))
+        self._listening.append(platform_http.listen(stand_in, PLATFORM_HOST, PLATFORM_PORT))
         await stand_in.publish(BASE_KEY, self.base())
 
     async def stop_standins(self) -> None:
--- a/fighinge/entry/merge.py
+++ b/fighinge/entry/merge.py
@@ -56,11 +56,6 @@
         if missing.shard not in self._parts:
             self._missing[missing.shard] = missing
 
-    @property
-    def has_parts(self) -> bool:
-        """Return whether any shard answered."""
-        return bool(self._parts)
-
     def shards_left(self) -> list[str]:
         """Return the shards without a part."""
         return [shard for shard in self._snapshot.shards if shard not in self._parts]
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -11,7 +11,6 @@
 import msgspec
 import xxhash
 
-from fighinge.entry.canary import CanaryRun, CanaryTimes, ProvenFingerprints, canary_order
 from fighinge.entry.query_run import Assignment, QueryRun, QueryTerms
 from fighinge.entry.snapshots import SnapshotChooser
 from fighinge.errors import ErrorKind, Failure
@@ -56,7 +55,6 @@
         "_group_map",
         "_links",
         "_name",
-        "_proven",
         "_version",
         "snapshots",
     )
@@ -77,7 +75,6 @@
         self._document: Document | None = None
         self._group_map: GroupMap | None = None
         self._version = 0
-        self._proven = ProvenFingerprints()
         self.snapshots = snapshots
 
     def configure(self, version: int, document: Document) -> None:
@@ -119,8 +116,6 @@
             request, request_id, service_name, service, snapshot, cursor, started_s
         )
         await run.run()
-        if run.collector.has_parts:
-            self._proven.add(run.fingerprint, self._clock())
         return self._finish(request, request_id, service, run, started_s)
 
     def _snapshot(
@@ -164,35 +159,16 @@
             fingerprint=fingerprint(service_name, search),
             configuration_version=self._version,
         )
-        assignments = self._assignments(service.collection, snapshot)
-        ends_s = started_s + deadline_s - ANSWER_SLACK_S
         return QueryRun(
             terms,
             snapshot,
-            assignments,
+            self._assignments(service.collection, snapshot),
             self._links,
             lambda: next(self._calls),
             self._clock,
-            ends_s,
-            self._canary(service, terms, assignments, started_s, ends_s),
+            started_s + deadline_s - ANSWER_SLACK_S,
         )
 
-    def _canary(
-        self,
-        service: Service,
-        terms: QueryTerms,
-        assignments: list[Assignment],
-        started_s: float,
-        ends_s: float,
-    ) -> CanaryRun | None:
-        """Return the canary of a query that needs one."""
-        if service.canary == "off" or len(assignments) == 1:
-            return None
-        if self._proven.holds(terms.fingerprint, started_s):
-            return None
-        groups = canary_order(terms.fingerprint, (owned.group for owned in assignments))
-        return CanaryRun(groups, CanaryTimes.from_deadline(started_s, ends_s), self._clock)
-
     def _assignments(self, collection: str, snapshot: Snapshot) -> list[Assignment]:
         candidates = self._fleet.aggregators()
         shards_by_group = self._group_map.shards_by_group(
--- /dev/null
+++ b/standins/behaviour.py
@@ -0,0 +1,79 @@
+"""How a stand-in backend server behaves, and what it counts."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from fighinge.errors import ErrorKind, Failure
+
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Behaviour(msgspec.Struct, forbid_unknown_fields=True):
+    """How a stand-in serves; every field may be changed while it runs.
+
+    ``drop_at`` names the point of a request at which its connection is dropped, ``drops_left``
+    for how many more requests. ``index_versions`` replaces what the configuration says that the
+    server holds; ``serves_index_version`` is served whatever was asked for. ``out`` only makes
+    the server count what starts on it.
+    """
+
+    service_ms: NotNegative = 5.0
+    straggler_share: Share = 0.0
+    straggler_factor: NotNegative = 10.0
+    one_way_ms: NotNegative = 0.0
+    connect_ms: NotNegative = 0.0
+    queue_limit: Count = 8
+    draining: bool = False
+    out: bool = False
+    absent: bool = False
+    shed_share: Share = 0.0
+    announces_cold: bool = False
+    cold_after_restart: bool = True
+    warm_calls: Count = 8
+    cold_factor: NotNegative = 3.0
+    fall_over_s: NotNegative = 1.0
+    crash_outage_s: NotNegative = 2.0
+    drop_at: Literal[
+        "nowhere", "accept", "before_run", "running", "before_answer", "in_answer", "after_answer"
+    ] = "nowhere"
+    drops_left: Count = 0
+    report: Literal["true", "stuck", "zero", "absurd", "absent"] = "true"
+    report_lag_s: NotNegative = 0.0
+    index_versions: dict[str, list[int]] | None = None
+    serves_index_version: int | None = None
+    misplaced_records: Count = 0
+    doubled_records: Count = 0
+
+
+class Counters(msgspec.Struct):
+    """What a stand-in saw; ``executions`` counts by request identifier."""
+
+    executions: dict[str, int] = {}
+    crashes: dict[str, int] = {}
+    searches: int = 0
+    state_reads: int = 0
+    connections_opened: int = 0
+    connections_refused: int = 0
+    peak_connections: int = 0
+    peak_in_flight: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    past_deadline: int = 0
+    restarts: int = 0
+    overloaded_moments: int = 0
+    arrivals_while_draining: int = 0
+    starts_while_out: int = 0
+
+
+def change(behaviour: Behaviour, raw_changes: bytes) -> Behaviour | Failure:
+    """Return a behaviour with the named fields replaced, or which field is wrong."""
+    try:
+        changes = msgspec.json.decode(raw_changes, type=dict)
+        return msgspec.convert({**msgspec.structs.asdict(behaviour), **changes}, Behaviour)
+    except msgspec.DecodeError as error:
+        return Failure(ErrorKind.BAD_REQUEST, str(error))
--- a/standins/direct.py
+++ b/standins/direct.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
+from standins.backend import ConnectionDropped, NotListening
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,6 +46,10 @@
                 return await server.search(request)
         except TimeoutError:
             return CallFailure(CallFault.TIMEOUT, "no answer in time")
+        except NotListening:
+            return CallFailure(CallFault.NOT_CONNECTED, "connection refused")
+        except ConnectionDropped:
+            return CallFailure(CallFault.CONNECTION_LOST, "connection dropped")
 
     async def cancel(self, address: Address, call_id: str) -> None:
         """Stop a call on a stand-in."""
@@ -53,9 +58,9 @@
     async def state(self, address: Address, timeout_s: float) -> ServerState | CallFailure:
         """Return a stand-in's report."""
         server = self._servers[address]
-        if server.name in self.unreachable:
+        if server.name in self.unreachable or not server.listening:
             return CallFailure(CallFault.NOT_CONNECTED, "connection refused")
-        return server.state()
+        return server.state() or CallFailure(CallFault.BAD_ANSWER, "no report")
 
 
 class DirectLink:
