--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -35,6 +35,7 @@
     samples: list[Sample]
     took_s: float
     usage: dict[str, Usage]
+    idle: dict[str, Usage]
     counters: dict[str, Counters]
     executions: dict[str, dict[str, int]]
     notes: dict[str, object]
@@ -88,6 +89,7 @@
         callers = Callers(fleet, step.shape, lambda address: f"http://{address}:{ENTRY_PORT}")
         try:
             await _load(step, callers, seed + 1, step.warm_up_s, [])
+            idle = await _idle_rates(fleet, step.idle_s)
             counters = await fleet.counters()
             usage = {role: fleet.usage(role) for role in ROLES}
             started_s = time.monotonic()
@@ -103,6 +105,7 @@
                 samples=samples,
                 took_s=took_s,
                 usage={role: fleet.usage(role).since(usage[role]) for role in ROLES},
+                idle=idle,
                 counters=_since(await fleet.counters(), counters),
                 executions=await fleet.executions() if scenario.checks_executions else {},
                 notes=notes,
@@ -121,6 +124,15 @@
         group.create_task(asyncio.sleep(duration_s))
 
 
+async def _idle_rates(fleet: MeasuredFleet, idle_s: float) -> dict[str, Usage]:
+    """Return what each role uses in a second without any query."""
+    if not idle_s:
+        return {}
+    before = {role: fleet.usage(role) for role in ROLES}
+    await asyncio.sleep(idle_s)
+    return {role: fleet.usage(role).since(before[role]).per(idle_s) for role in ROLES}
+
+
 async def _inflict(fault, fleet: MeasuredFleet, notes: dict[str, object]) -> None:
     await asyncio.sleep(fault.at_s)
     progress(f"  {fault.at_s:.1f} s: {fault.name}")
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -13,15 +13,16 @@
 
 
 def throughput(runs: list[Run]) -> dict[str, object]:
-    """Return processor time per query by fan-out, with the slope per backend server."""
+    """Return processor time per query by fan-out, with the slope per backend server.
+
+    What a role uses without queries is left out.
+    """
     points = []
     for run in runs:
         answered = max(1, len(run.samples))
         point = {"fan_out": run.step.size, "queries_per_s": round(answered / run.took_s, 1)}
         for role in ROLES:
-            point[f"{role}_ms_per_query"] = round(
-                run.usage[role].processor_s * 1000 / answered, 3
-            )
+            point[f"{role}_ms_per_query"] = round(run.usage[role].processor_s * 1000 / answered, 3)
         points.append(point)
     found: dict[str, object] = {"points": points}
     for role in ROLES:
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -16,8 +16,9 @@
 from demo.fleet import BACKEND_HOST, PLATFORM_HOST, PLATFORM_PORT, Fleet
 from fighinge.configuration.history import BASE_KEY, PATCH_PREFIX
 from fighinge.model import decode_document
-from standins import platform
+from standins import platform_http
 from standins.behaviour import Counters
+from standins.platform import StandinPlatform
 
 if TYPE_CHECKING:
     from benchmarks.shapes import Shape
@@ -35,7 +36,7 @@
         super().__init__(shape.document(), shape.hosts(), settings)
         self.shape = shape
         self.document = decode_document(self.raw_document)
-        self.platform = platform.StandinPlatform()
+        self.platform = StandinPlatform()
         self.patches = 0
         self._seed = seed
         self._standins: list[asyncio.subprocess.Process] = []
@@ -74,7 +75,7 @@
     async def start_standins(self) -> None:
         """Start the platform here and the backend servers in other processes."""
         self.platform.hosts = self.hosts
-        self._listening.append(platform.listen(self.platform, PLATFORM_HOST, PLATFORM_PORT))
+        self._listening.append(platform_http.listen(self.platform, PLATFORM_HOST, PLATFORM_PORT))
         await self.platform.publish(BASE_KEY, self.base())
         path = Path(self._directory.name) / "document.json"
         path.write_bytes(self.raw_document)
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -70,7 +70,7 @@
 
 
 def draw_request(stream: Stream, number: int, source: random.Random) -> QueryRequest:
-    """Draw a request; few of them are alike."""
+    """Draw a request; the name of its facet makes it unlike every other."""
     wanted: dict[str, str] = {}
     if source.random() < 0.5:
         wanted["city"] = source.choice(CITIES)
@@ -80,6 +80,7 @@
         request_id=f"{stream.service}-{source.getrandbits(64):016x}",
         filter=msgspec.Raw(msgspec.json.encode(wanted)),
         limit=source.randint(*LIMITS),
+        facets=(f"salt-{source.getrandbits(48):012x}",),
         repeatable=stream.repeatable,
     )
 
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -34,7 +34,8 @@
     def flat(self) -> dict[str, object]:
         """Return the result with the scenario's own figures beside the common ones."""
         fields = msgspec.structs.asdict(self)
-        return {**fields, **fields.pop("figures")}
+        own = fields.pop("figures")
+        return {**fields, **own}
 
 
 class ScenarioResult(msgspec.Struct):
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -21,6 +21,7 @@
     shape: Shape = VAQUERO
     streams: tuple[Stream, ...] = ()
     warm_up_s: float = 3.0
+    idle_s: float = 0.0
     duration_s: float = 12.0
     label: str = ""
     size: int = 0
@@ -45,8 +46,9 @@
     )  # fmt: skip
     streams = (Stream(rate_per_s=rate_per_s),)
     return Step(
-        shape=shape, streams=streams, warm_up_s=1.5, duration_s=5.0, label=f"x{count}", size=count
-    )
+        shape=shape, streams=streams, warm_up_s=1.5, idle_s=1.5, duration_s=5.0, size=count,
+        label=f"fan-out {count}",
+    )  # fmt: skip
 
 
 SCENARIOS = (
--- a/benchmarks/usage.py
+++ b/benchmarks/usage.py
@@ -26,6 +26,12 @@
             self.loopback_bytes - earlier.loopback_bytes,
         )
 
+    def per(self, seconds: float) -> Usage:
+        """Return what was used in each of some seconds."""
+        return Usage(
+            self.processor_s / seconds, self.rss_bytes, round(self.loopback_bytes / seconds)
+        )
+
 
 def read_usage(pids: list[int]) -> Usage:
     """Read the usage of processes; one that has gone counts as nothing."""
