Split the aggregator's decisions into modules

Each decision now has a module and takes the present time: identity and leaving, latency trends, cold start, adaptive limit, replica choice, hedge delay, extra-load budget, admission, quarantine, tenure of groups, connection quotas, and the run of one bundle of shards.

--- /dev/null
+++ b/fighinge/aggregator/admission.py
@@ -0,0 +1,296 @@
+"""The queue of a replica group: who gets the next free slot, and who is refused at once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fighinge.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from fighinge.aggregator.backend_server import BackendServer
+    from fighinge.aggregator.policy import Policy
+    from fighinge.aggregator.replica_choice import ReplicaChooser
+    from fighinge.model import Document
+
+RECHECK_INTERVAL_S = 0.01
+COST_WEIGHT = 0.05
+INITIAL_COST_S = 0.01
+LEARNING_CALLS = 20
+SHORTEST_SHARE = 0.5
+RETRY_AFTER_S = 0.5
+SHORTEST_RETRY_AFTER_S = 0.05
+LOOKAHEAD = 8
+SINGLE_CLASS = "all"
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """A sentinel for a call that got no slot; nothing was sent.
+
+    :attr:`retry_after_s` tells when another try may succeed.
+    """
+
+    failure: Failure
+    retry_after_s: float = RETRY_AFTER_S
+
+
+class Waiter:
+    """A call that wants a slot of one of several replicas."""
+
+    __slots__ = ("candidates", "deadline_s", "fingerprint", "granted", "query_class", "tenant")
+
+    def __init__(
+        self,
+        query_class: str,
+        tenant: str,
+        fingerprint: str,
+        deadline_s: float,
+        candidates: list[BackendServer],
+    ) -> None:
+        self.query_class = query_class
+        self.tenant = tenant
+        self.fingerprint = fingerprint
+        self.deadline_s = deadline_s
+        self.candidates = candidates
+        self.granted: asyncio.Future[BackendServer | Refused] | None = None
+
+
+class ClassQueue:
+    """The waiting calls of one class, taken from its tenants in turn."""
+
+    __slots__ = ("calls", "cost_s", "size", "start", "tenants", "weight")
+
+    def __init__(self) -> None:
+        self.weight = 1
+        self.start = 0.0
+        self.size = 0
+        self.cost_s = INITIAL_COST_S
+        self.calls = 0
+        self.tenants: dict[str, deque[Waiter]] = {}
+
+    def observe(self, took_s: float) -> None:
+        """Learn what a call of the class costs a slot."""
+        weight = max(COST_WEIGHT, 1 / (self.calls + 1))
+        self.cost_s += weight * (took_s - self.cost_s)
+        self.calls += 1
+
+    def add(self, waiter: Waiter) -> None:
+        """Put a call behind those of its tenant."""
+        self.tenants.setdefault(waiter.tenant, deque()).append(waiter)
+        self.size += 1
+
+    def discard(self, waiter: Waiter) -> None:
+        """Take a call out, wherever it stands."""
+        waiting = self.tenants.get(waiter.tenant)
+        if waiting is None or waiter not in waiting:
+            return
+        waiting.remove(waiter)
+        self.size -= 1
+        if not waiting:
+            del self.tenants[waiter.tenant]
+
+    def ahead(self, tenant: str) -> int:
+        """Return how many calls of the class go before a new one of a tenant."""
+        own = len(self.tenants.get(tenant, ()))
+        return sum(min(own + 1, len(waiting)) for waiting in self.tenants.values())
+
+    def next_served(self, now_s: float) -> Waiter | None:
+        """Take out the next call that some replica accepts; its tenant goes last."""
+        for tenant, waiting in list(self.tenants.items()):
+            for position in range(min(LOOKAHEAD, len(waiting))):
+                waiter = waiting[position]
+                if any(server.accepts(now_s) for server in waiter.candidates):
+                    self.discard(waiter)
+                    if tenant in self.tenants:
+                        self.tenants[tenant] = self.tenants.pop(tenant)
+                    return waiter
+        return None
+
+    def waiters(self) -> list[Waiter]:
+        """Return every waiting call."""
+        return [waiter for waiting in self.tenants.values() for waiter in waiting]
+
+
+class AdmissionQueue:
+    """Weighted fair between classes, in turn between the tenants of one.
+
+    A class's share is counted in slot time. A class that was idle starts level with the others
+    and cannot save up; one that is always served late still gets its share, so that none
+    starves.
+    """
+
+    __slots__ = ("_chooser", "_classes", "_clock", "_level", "_policy", "_timer", "size")
+
+    def __init__(self, chooser: ReplicaChooser, policy: Policy, clock: Callable[[], float]) -> None:
+        self.size = 0
+        self._chooser = chooser
+        self._policy = policy
+        self._clock = clock
+        self._classes: dict[str, ClassQueue] = {}
+        self._level = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def configure(self, document: Document) -> None:
+        """Take over the configured weights."""
+        for name, query_class in document.classes.items():
+            self._class_queue(name).weight = query_class.weight
+
+    async def acquire(self, waiter: Waiter) -> BackendServer | Refused:
+        """Wait for a slot; the server's call counts as started when this returns it."""
+        now_s = self._clock()
+        refusal = self._refusal(waiter, now_s)
+        if refusal is not None:
+            return refusal
+        queue = self._class_queue(waiter.query_class)
+        if self.size == 0:
+            free = [server for server in waiter.candidates if server.accepts(now_s)]
+            if free:
+                self._charge(queue)
+                return self._start(waiter, free, now_s)
+        waiter.granted = asyncio.get_running_loop().create_future()
+        if queue.size == 0:
+            queue.start = max(queue.start, self._level)
+        queue.add(waiter)
+        self.size += 1
+        self.dispatch()
+        try:
+            return await waiter.granted
+        except asyncio.CancelledError:
+            self._abandon(waiter, queue)
+            raise
+
+    def dispatch(self) -> None:
+        """Hand free slots out, in the order of the classes' shares."""
+        now_s = self._clock()
+        while self.size:
+            waiter = self._next_served(now_s)
+            if waiter is None:
+                break
+            self.size -= 1
+            if waiter.granted.done():
+                continue
+            free = [server for server in waiter.candidates if server.accepts(now_s)]
+            waiter.granted.set_result(self._start(waiter, free, now_s))
+        self._set_timer()
+
+    def observe(self, query_class: str, took_s: float) -> None:
+        """Learn what a call of a class costs."""
+        self._class_queue(query_class).observe(took_s)
+
+    def _start(self, waiter: Waiter, free: list[BackendServer], now_s: float) -> BackendServer:
+        server = self._chooser.choose(free, now_s)
+        server.started(waiter.fingerprint)
+        return server
+
+    def _next_served(self, now_s: float) -> Waiter | None:
+        waiting = [queue for queue in self._classes.values() if queue.size]
+        if len(waiting) > 1:
+            waiting.sort(key=lambda queue: queue.start)
+        for queue in waiting:
+            waiter = queue.next_served(now_s)
+            if waiter is not None:
+                self._charge(queue)
+                return waiter
+        return None
+
+    def _charge(self, queue: ClassQueue) -> None:
+        queue.start = max(queue.start, self._level)
+        self._level = queue.start
+        queue.start += queue.cost_s / queue.weight
+
+    def _abandon(self, waiter: Waiter, queue: ClassQueue) -> None:
+        if waiter.granted.done() and not waiter.granted.cancelled():
+            server = waiter.granted.result()
+            if not isinstance(server, Refused):
+                server.withdrawn(waiter.fingerprint)
+                self.dispatch()
+            return
+        self._remove(waiter, queue)
+
+    def _remove(self, waiter: Waiter, queue: ClassQueue) -> None:
+        before = queue.size
+        queue.discard(waiter)
+        self.size -= before - queue.size
+
+    def _refusal(self, waiter: Waiter, now_s: float) -> Refused | None:
+        """Return why a call is refused at once, if it is."""
+        available = [server for server in waiter.candidates if server.is_available(now_s)]
+        if not available:
+            return _refused(ErrorKind.NO_REPLICA, "no replica is in service", RETRY_AFTER_S)
+        remaining_s = waiter.deadline_s - now_s
+        queue = self._class_queue(waiter.query_class)
+        cost_s = queue.cost_s if queue.calls >= LEARNING_CALLS else 0.0
+        if remaining_s <= SHORTEST_SHARE * cost_s:
+            reason = f"{remaining_s * 1000:.1f} ms are left; calls take {cost_s * 1000:.1f} ms"
+            return _refused(ErrorKind.DEADLINE_TOO_SHORT, reason, SHORTEST_RETRY_AFTER_S)
+        if not self._policy.early_refusal:
+            return None
+        wait_s = self._expected_wait_s(waiter, queue, available, now_s)
+        if wait_s + cost_s > remaining_s:
+            reason = f"would wait {wait_s * 1000:.0f} ms for a slot"
+            late_s = wait_s + cost_s - remaining_s
+            return _refused(ErrorKind.OVERLOADED, reason, late_s)
+        return None
+
+    def _expected_wait_s(
+        self, waiter: Waiter, queue: ClassQueue, available: list[BackendServer], now_s: float
+    ) -> float:
+        pause_s = min(server.pause_left_s(now_s) for server in available)
+        if self.size == 0:
+            return pause_s
+        capacity = sum(server.allowance() for server in available)
+        weights = sum(other.weight for other in self._classes.values() if other.size)
+        if queue.size == 0:
+            weights += queue.weight
+        share = queue.weight / weights
+        return pause_s + queue.ahead(waiter.tenant) * queue.cost_s / (capacity * share)
+
+    def _expire(self) -> None:
+        """Refuse the calls that can no longer finish in time."""
+        self._timer = None
+        now_s = self._clock()
+        for queue in self._classes.values():
+            latest_s = now_s + (SHORTEST_SHARE * queue.cost_s if queue.calls else 0.0)
+            late = [waiter for waiter in queue.waiters() if waiter.deadline_s <= latest_s]
+            for waiter in late:
+                self._remove(waiter, queue)
+                if waiter.granted.done():
+                    continue
+                reason = "no replica had a free slot in time"
+                waiter.granted.set_result(
+                    _refused(ErrorKind.OVERLOADED, reason, SHORTEST_RETRY_AFTER_S)
+                )
+        self.dispatch()
+
+    def _set_timer(self) -> None:
+        if self.size and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(RECHECK_INTERVAL_S, self._expire)
+
+    def _class_queue(self, name: str) -> ClassQueue:
+        if not self._policy.weighted_admission:
+            name = SINGLE_CLASS
+        queue = self._classes.get(name)
+        if queue is None:
+            queue = self._classes[name] = ClassQueue()
+        return queue
+
+
+def _refused(kind: ErrorKind, reason: str, retry_after_s: float) -> Refused:
+    return Refused(Failure(kind, reason), max(SHORTEST_RETRY_AFTER_S, retry_after_s))
+
+
+def usable(
+    servers: Iterable[BackendServer], collection: str, index_version: int
+) -> list[BackendServer]:
+    """Return the replicas that take work and are thought to hold an index version."""
+    return [
+        server
+        for server in servers
+        if server.takes_work() and server.serves(collection, index_version)
+    ]
--- a/fighinge/aggregator/base.py
+++ b/fighinge/aggregator/base.py
@@ -15,21 +15,31 @@
     """How a call to a backend server went wrong on the wire."""
 
     NOT_CONNECTED = "not_connected"
+    CONNECTION_LIMIT = "connection_limit"
     CONNECTION_LOST = "connection_lost"
     TIMEOUT = "timeout"
     BAD_ANSWER = "bad_answer"
 
 
-class CallFailure(msgspec.Struct, frozen=True):
-    """A sentinel for a call without an answer.
+NOT_SENT_FAULTS = frozenset({CallFault.NOT_CONNECTED, CallFault.CONNECTION_LIMIT})
 
-    Only :attr:`CallFault.NOT_CONNECTED` proves that the request was not sent.
-    """
+
+class CallFailure(msgspec.Struct, frozen=True):
+    """A sentinel for a call without an answer; see :func:`proves_not_sent`."""
 
     fault: CallFault
     reason: str
 
 
+def proves_not_sent(result: object) -> bool:
+    """Return whether the end of a call proves that no byte of the request was sent.
+
+    This is the only place that draws this conclusion: a connection was never made, or none was
+    free. No refusal, timeout or lost connection proves it.
+    """
+    return isinstance(result, CallFailure) and result.fault in NOT_SENT_FAULTS
+
+
 class Address(msgspec.Struct, frozen=True):
     """Where a backend server listens."""
 
--- /dev/null
+++ b/fighinge/aggregator/concurrency.py
@@ -0,0 +1,60 @@
+"""How many calls a warm backend server is given at once."""
+
+from __future__ import annotations
+
+DECREASE_FACTOR = 0.5
+GROWTH_DECREASE_FACTOR = 0.8
+DECREASE_INTERVAL_S = 0.1
+INCREASE_PER_S = 2.0
+LONGEST_CREDIT_S = 0.1
+
+
+class AdaptiveLimit:
+    """A concurrency limit between one and the slots of a server.
+
+    Distress halves it, growing latency takes a fifth; several signs within a short time count
+    once, since they have one cause. Answers raise it by at most ``INCREASE_PER_S`` slots a
+    second.
+    """
+
+    __slots__ = ("_decreased_s", "_increased_s", "_limit", "_slots", "is_fixed")
+
+    def __init__(self, slots: int, *, is_fixed: bool = False) -> None:
+        self.is_fixed = is_fixed
+        self._slots = slots
+        self._limit = float(slots)
+        self._decreased_s = float("-inf")
+        self._increased_s = float("-inf")
+
+    @property
+    def allowance(self) -> int:
+        """Return the limit in whole calls."""
+        return int(self._limit)
+
+    def distressed(self, now_s: float) -> None:
+        """Halve the limit."""
+        self._decrease(DECREASE_FACTOR, now_s)
+
+    def latency_grew(self, now_s: float) -> None:
+        """Lower the limit a little."""
+        self._decrease(GROWTH_DECREASE_FACTOR, now_s)
+
+    def answered(self, now_s: float) -> None:
+        """Raise the limit a little."""
+        if self._limit >= self._slots:
+            self._increased_s = now_s
+            return
+        credit_s = min(now_s - self._increased_s, LONGEST_CREDIT_S)
+        self._increased_s = now_s
+        self._limit = min(float(self._slots), self._limit + credit_s * INCREASE_PER_S)
+
+    def start_at(self, calls: int) -> None:
+        """Begin below the slots, as where another owner may still use the server."""
+        if not self.is_fixed:
+            self._limit = float(max(1, min(calls, self._slots)))
+
+    def _decrease(self, factor: float, now_s: float) -> None:
+        if self.is_fixed or now_s - self._decreased_s < DECREASE_INTERVAL_S:
+            return
+        self._decreased_s = self._increased_s = now_s
+        self._limit = max(1.0, self._limit * factor)
--- /dev/null
+++ b/fighinge/aggregator/connections.py
@@ -0,0 +1,79 @@
+"""Keeps the connections to each backend server below a quota, and warm."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from fighinge.aggregator.base import CallFailure, CallFault
+
+if TYPE_CHECKING:
+    from fighinge.aggregator.base import Address, BackendClient
+    from fighinge.messages import BackendAnswer, BackendRefusal, BackendRequest, ServerState
+
+DEFAULT_CONNECTIONS = 3
+WARM_UP_TIMEOUT_S = 1.0
+NONE_FREE = CallFailure(CallFault.CONNECTION_LIMIT, "no connection was free in time")
+
+
+class LimitedClient:
+    """A backend client that has at most a quota of requests outstanding at each server.
+
+    A request occupies one connection, and a kept-alive one is used again before another is
+    opened, so that connections never outnumber the quota.
+    """
+
+    __slots__ = ("_client", "_free")
+
+    def __init__(self, client: BackendClient) -> None:
+        self._client = client
+        self._free: dict[Address, asyncio.Semaphore] = {}
+
+    def set_quota(self, address: Address, connections: int) -> None:
+        """Limit the connections to a server that has none yet."""
+        self._free[address] = asyncio.Semaphore(connections)
+
+    async def search(
+        self, address: Address, request: BackendRequest, timeout_s: float
+    ) -> BackendAnswer | BackendRefusal | CallFailure:
+        """Run a request on a backend server."""
+        free = self._semaphore(address)
+        if not await _acquired(free, timeout_s):
+            return NONE_FREE
+        try:
+            return await self._client.search(address, request, timeout_s)
+        finally:
+            free.release()
+
+    async def cancel(self, address: Address, call_id: str) -> None:
+        """Ask a backend server to stop running a call."""
+        async with self._semaphore(address):
+            await self._client.cancel(address, call_id)
+
+    async def state(self, address: Address, timeout_s: float) -> ServerState | CallFailure:
+        """Ask a backend server for its load."""
+        async with self._semaphore(address):
+            return await self._client.state(address, timeout_s)
+
+    async def warm_up(self, address: Address, connections: int) -> None:
+        """Open connections ahead of the calls that will use them."""
+        await asyncio.gather(
+            *(self.state(address, WARM_UP_TIMEOUT_S) for _number in range(connections))
+        )
+
+    def _semaphore(self, address: Address) -> asyncio.Semaphore:
+        free = self._free.get(address)
+        if free is None:
+            free = self._free[address] = asyncio.Semaphore(DEFAULT_CONNECTIONS)
+        return free
+
+
+async def _acquired(free: asyncio.Semaphore, timeout_s: float) -> bool:
+    if not free.locked():
+        return await free.acquire()
+    try:
+        async with asyncio.timeout(timeout_s):
+            await free.acquire()
+    except TimeoutError:
+        return False
+    return True
--- /dev/null
+++ b/fighinge/aggregator/replica_choice.py
@@ -0,0 +1,43 @@
+"""Which replica is asked."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from fighinge.aggregator.backend_server import BackendServer
+
+MAX_COMPARED = 4
+TIE_SHARE = 0.05
+
+
+class ReplicaChooser:
+    """Picks the replica with the least expected time to an answer.
+
+    Few replicas are all compared, of many two drawn ones. Near ties are broken by chance.
+    """
+
+    __slots__ = ("_compares", "_random")
+
+    def __init__(self, source: random.Random, *, compares: bool = True) -> None:
+        self._random = source
+        self._compares = compares
+
+    def choose(self, free: Sequence[BackendServer], now_s: float) -> BackendServer:
+        """Return one of the servers that accept a call now.
+
+        :param free: at least one server
+        """
+        if len(free) == 1:
+            return free[0]
+        if not self._compares:
+            return self._random.choice(free)
+        if len(free) > MAX_COMPARED:
+            free = self._random.sample(free, 2)
+        return min(free, key=lambda server: self._cost(server, now_s))
+
+    def _cost(self, server: BackendServer, now_s: float) -> float:
+        return server.expected_s(now_s) * (1.0 + TIE_SHARE * self._random.random())
--- a/fighinge/aggregator/replica_group.py
+++ b/fighinge/aggregator/replica_group.py
@@ -1,4 +1,4 @@
-"""A replica group: chooses replicas, waits for slots, hedges and retries."""
+"""A replica group under one owner: its backend servers and the queue for their slots."""
 
 from __future__ import annotations
 
@@ -7,73 +7,100 @@
 
 import logbook
 
-from fighinge.aggregator.backend_server import BackendServer
+from fighinge.aggregator.attempts import UNWANTED, BundleRun
 from fighinge.aggregator.base import CallFailure, CallFault
-from fighinge.errors import ErrorKind, Failure
+from fighinge.aggregator.hedging import HedgeDelay
+from fighinge.aggregator.metrics import QueryMetrics
+from fighinge.errors import ErrorKind
 from fighinge.messages import (
-    Attempt,
     BackendAnswer,
-    BackendRefusal,
     BackendRequest,
     GroupOutcome,
     GroupStatus,
-    ShardMissing,
-    SubQuery,
     failed_group,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Coroutine
 
-    from fighinge.aggregator.base import BackendClient
+    from fighinge.aggregator.admission import Refused, Waiter
+    from fighinge.aggregator.backend_server import BackendServer, CallResult
+    from fighinge.aggregator.shared import SharedParts
     from fighinge.groups import Group
+    from fighinge.messages import SubQuery
     from fighinge.model import Document
 
 logger = logbook.Logger(__name__)
 
-RECHECK_INTERVAL_S = 0.05
 CALL_SLACK_S = 0.002
+STATE_TIMEOUT_S = 0.4
+MAX_CACHED_BUNDLES = 256
+Bundle = tuple[tuple[str, ...], tuple[str, ...]]
 
 
 class ReplicaGroup:
-    """The backend servers that share shards, under one owner."""
+    """The backend servers that share shards, and everything that is decided about them."""
 
-    __slots__ = ("_client", "_clock", "_document", "_freed", "name", "servers")
+    __slots__ = (
+        "_bundles",
+        "_document",
+        "_hedge_delays",
+        "_queue",
+        "_shared",
+        "_tasks",
+        "_waiting_for_empty",
+        "budgets",
+        "chooser",
+        "clock",
+        "group",
+        "name",
+        "policy",
+        "quarantine",
+        "running",
+        "servers",
+    )
 
     def __init__(
         self,
-        name: str,
+        group: Group,
         servers: dict[str, BackendServer],
         document: Document,
-        client: BackendClient,
-        clock: Callable[[], float],
+        shared: SharedParts,
     ) -> None:
-        self.name = name
+        self.name = group.name
+        self.group = group
+        self.running = 0
+        self.budgets = shared.budgets
+        self.chooser = shared.chooser
+        self.clock = shared.clock
+        self.policy = shared.policy
+        self.quarantine = shared.quarantine
+        self._shared = shared
+        self._queue = shared.create_queue()
+        self._hedge_delays: dict[str, HedgeDelay] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._waiting_for_empty: dict[str, asyncio.Event] = {}
+        self.configure(servers, document)
+
+    def configure(self, servers: dict[str, BackendServer], document: Document) -> None:
+        """Take over a configuration; the state of the servers and of the queue stays."""
         self.servers = servers
         self._document = document
-        self._client = client
-        self._clock = clock
-        self._freed = asyncio.Event()
+        self._bundles: dict[tuple[str, int, tuple[str, ...]], list[Bundle]] = {}
+        self._queue.configure(document)
+        self._queue.dispatch()
 
-    @classmethod
-    def from_config(
-        cls,
-        group: Group,
-        document: Document,
-        client: BackendClient,
-        clock: Callable[[], float],
-    ) -> ReplicaGroup:
-        """Return a group whose backend servers are all taken for cold."""
-        servers = {
-            name: BackendServer.from_config(name, document.backend_servers[name])
-            for name in group.backend_servers
-        }
-        return cls(group.name, servers, document, client, clock)
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no call waits for a slot."""
+        return self._queue.size == 0
 
     def status(self) -> GroupStatus:
-        """Return which index versions some replica of the group holds."""
+        """Return which index versions some replica of the group serves."""
         versions: dict[str, set[int]] = {}
         for server in self.servers.values():
+            if not server.takes_work():
+                continue
             for collection, held in server.index_versions.items():
                 versions.setdefault(collection, set()).update(held)
         return GroupStatus(self.name, {name: sorted(held) for name, held in versions.items()})
@@ -85,122 +112,223 @@
 
         :param deadline_s: clock time after which no answer is of use
         """
-        snapshot = self._document.collections[sub_query.collection].snapshot(
-            sub_query.index_version
-        )
-        if snapshot is None:
-            reason = f"index version {sub_query.index_version} is not configured"
+        bundles = self._bundles_of(sub_query.collection, sub_query.index_version, shards)
+        if bundles is None:
+            reason = f"index version {sub_query.index_version} is not configured for the shards"
             return failed_group(self.name, shards, ErrorKind.SNAPSHOT_GONE, reason, sent=False)
-        bundles: dict[tuple[str, ...], list[str]] = {}
-        for shard in shards:
-            replicas = tuple(sorted(snapshot.shards[shard].replicas))
-            bundles.setdefault(replicas, []).append(shard)
-        outcomes = await asyncio.gather(
-            *(
-                self._run_bundle(sub_query, replicas, tuple(names), deadline_s)
-                for replicas, names in bundles.items()
-            )
-        )
-        return _joined(self.name, outcomes)
-
-    async def _run_bundle(
-        self,
-        sub_query: SubQuery,
-        replicas: tuple[str, ...],
-        shards: tuple[str, ...],
-        deadline_s: float,
-    ) -> GroupOutcome:
-        """Ask shards that have the same replicas, one replica after the other."""
-        outcome = GroupOutcome(group=self.name)
-        tried: set[str] = set()
-        failure = Failure(ErrorKind.NO_REPLICA, "no replica serves the index version")
-        while len(tried) < len(replicas):
-            server = await self._acquire(sub_query, replicas, tried, deadline_s)
-            if isinstance(server, Failure):
-                failure = server if not tried else failure
-                break
-            tried.add(server.name)
-            result = await self._call(server, sub_query, shards, deadline_s, outcome)
-            if isinstance(result, BackendAnswer):
-                outcome.parts.extend(result.parts)
-                outcome.missing.extend(result.missing)
-                return outcome
-            failure = _failure_of(result)
-            if not sub_query.repeatable and outcome.sent:
-                break
-        outcome.missing.extend(
-            ShardMissing(shard, failure.kind, failure.reason) for shard in shards
-        )
+        self.running += 1
+        try:
+            runs = [
+                BundleRun(
+                    self, sub_query, [self.servers[name] for name in replicas], names, deadline_s
+                ).run()
+                for replicas, names in bundles
+            ]
+            outcomes = [await runs[0]] if len(runs) == 1 else await asyncio.gather(*runs)
+        finally:
+            self.running -= 1
+        outcome = _joined(self.name, outcomes)
+        metrics = QueryMetrics.of(sub_query.query_class, sub_query.tenant)
+        metrics.attempts.observe(len(outcome.attempts))
         return outcome
 
-    async def _acquire(
-        self, sub_query: SubQuery, replicas: tuple[str, ...], tried: set[str], deadline_s: float
-    ) -> BackendServer | Failure:
-        """Wait for the best replica with a free slot."""
-        candidates = [
-            self.servers[name]
-            for name in replicas
-            if name not in tried
-            and self.servers[name].serves(sub_query.collection, sub_query.index_version)
-        ]
-        if not candidates:
-            return Failure(ErrorKind.NO_REPLICA, "no replica serves the index version")
-        while True:
-            now_s = self._clock()
-            free = [server for server in candidates if server.accepts(now_s)]
-            if free:
-                return min(free, key=BackendServer.score)
-            if now_s >= deadline_s:
-                return Failure(ErrorKind.OVERLOADED, "no replica had a free slot in time")
-            await self._wait_for_slot(min(RECHECK_INTERVAL_S, deadline_s - now_s))
-
-    async def _wait_for_slot(self, timeout_s: float) -> None:
-        self._freed.clear()
-        try:
-            await asyncio.wait_for(self._freed.wait(), timeout_s)
-        except TimeoutError:
-            return
+    async def acquire(self, waiter: Waiter) -> BackendServer | Refused:
+        """Wait for a slot of one of the waiter's replicas."""
+        asked_s = self.clock()
+        granted = await self._queue.acquire(waiter)
+        metrics = QueryMetrics.of(waiter.query_class, waiter.tenant)
+        metrics.queue_time_s.observe(self.clock() - asked_s)
+        return granted
 
-    async def _call(
+    def hedge_delay_s(self, query_class: str) -> float | None:
+        """Return after which time a call of a class is hedged, if at all."""
+        if not self.policy.hedging:
+            return None
+        return self._hedge_delay(query_class).delay_s
+
+    def next_call_id(self) -> str:
+        """Return an identifier that no other call of any process has."""
+        return self._shared.next_call_id()
+
+    def start_call(
         self,
         server: BackendServer,
+        call_id: str,
         sub_query: SubQuery,
         shards: tuple[str, ...],
         deadline_s: float,
-        outcome: GroupOutcome,
-    ) -> BackendAnswer | BackendRefusal | CallFailure:
-        """Make one call and let the server's condition learn from it."""
-        started_s = self._clock()
-        remaining_s = deadline_s - started_s
+        *,
+        is_probe: bool,
+    ) -> asyncio.Task[CallResult]:
+        """Start a call whose slot is held; it is accounted for even if nobody waits for it."""
         request = BackendRequest(
-            call_id=f"{sub_query.request_id}-{self.name}-{len(outcome.attempts)}",
+            call_id=call_id,
             request_id=sub_query.request_id,
             collection=sub_query.collection,
             index_version=sub_query.index_version,
             shards=shards,
             search=sub_query.search,
-            remaining_ms=remaining_s * 1000,
+            remaining_ms=(deadline_s - self.clock()) * 1000,
             repeatable=sub_query.repeatable,
         )
-        server.started()
-        result = await self._client.search(server.address, request, remaining_s + CALL_SLACK_S)
-        now_s = self._clock()
-        server.finished(result, now_s - started_s, now_s)
-        self._freed.set()
-        not_connected = isinstance(result, CallFailure) and result.fault is CallFault.NOT_CONNECTED
-        outcome.sent = outcome.sent or not not_connected
-        outcome.attempts.append(
-            Attempt(
-                backend_server=server.name,
-                shards=len(shards),
-                reason="first" if not outcome.attempts else "retry",
-                started_ms=0.0,
-                took_ms=(now_s - started_s) * 1000,
-                result=_name_of(result),
-            )
-        )
+        return self._spawn(self._call(server, request, sub_query, is_probe=is_probe))
+
+    def cancel_call(self, server: BackendServer, call_id: str) -> None:
+        """Tell a server that a call's answer is not wanted; its slot stays taken until it ends."""
+        self._spawn(self._shared.client.cancel(server.address, call_id))
+
+    async def reserve_alone(
+        self, candidates: list[BackendServer], deadline_s: float
+    ) -> BackendServer | None:
+        """Keep new calls from one of several servers and wait until nothing runs on it."""
+        now_s = self.clock()
+        free = [
+            server for server in candidates if server.is_available(now_s) and not server.is_alone
+        ]
+        if not free:
+            return None
+        server = min(free, key=lambda candidate: candidate.in_flight)
+        server.is_alone = True
+        try:
+            async with asyncio.timeout(max(0.0, deadline_s - now_s)):
+                await self._emptied(server)
+        except TimeoutError:
+            self._release_alone(server)
+            return None
+        except asyncio.CancelledError:
+            self._release_alone(server)
+            raise
+        if not server.is_available(self.clock()):
+            self._release_alone(server)
+            return None
+        return server
+
+    async def poll(self, server: BackendServer) -> None:
+        """Ask a server for its state."""
+        state = await self._shared.client.state(server.address, STATE_TIMEOUT_S)
+        now_s = self.clock()
+        if isinstance(state, CallFailure):
+            if state.fault is CallFault.NOT_CONNECTED:
+                server.unreachable(now_s)
+                self.quarantine.settle(server.name, None, now_s)
+            return
+        is_new = state.process_id != server.process_id
+        server.reported(state, now_s)
+        self.quarantine.settle(server.name, state.process_id, now_s)
+        if is_new:
+            self._greet(server, now_s)
+        self._queue.dispatch()
+
+    async def _emptied(self, server: BackendServer) -> None:
+        while server.in_flight:
+            event = self._waiting_for_empty.setdefault(server.name, asyncio.Event())
+            await event.wait()
+
+    def _release_alone(self, server: BackendServer) -> None:
+        server.is_alone = False
+        self._queue.dispatch()
+
+    async def _call(
+        self,
+        server: BackendServer,
+        request: BackendRequest,
+        sub_query: SubQuery,
+        *,
+        is_probe: bool,
+    ) -> CallResult:
+        started_s = self.clock()
+        timeout_s = max(0.0, request.remaining_ms / 1000) + CALL_SLACK_S
+        try:
+            result = await self._shared.client.search(server.address, request, timeout_s)
+        except Exception as error:
+            logger.exception("a call to backend server {} failed", server.name)
+            result = CallFailure(CallFault.BAD_ANSWER, repr(error))
+        now_s = self.clock()
+        self._learn(server, sub_query, result, now_s - started_s, now_s)
+        if is_probe:
+            self.quarantine.end_probe(sub_query.fingerprint)
+            server.is_alone = False
+        if server.in_flight == 0 and server.name in self._waiting_for_empty:
+            self._waiting_for_empty.pop(server.name).set()
+        self._queue.dispatch()
         return result
 
+    def _learn(
+        self,
+        server: BackendServer,
+        sub_query: SubQuery,
+        result: CallResult,
+        took_s: float,
+        now_s: float,
+    ) -> None:
+        """Let everything that a call's end matters to know of it."""
+        fingerprint, query_class = sub_query.fingerprint, sub_query.query_class
+        if isinstance(result, CallFailure) and result.fault is CallFault.CONNECTION_LOST:
+            self.quarantine.lost(server.name, server.process_id, server.running, now_s)
+            self._spawn(self.poll(server))
+        elif isinstance(result, BackendAnswer):
+            self.quarantine.answered(fingerprint, self.servers)
+        server.finished(fingerprint, query_class, result, took_s, now_s)
+        if _shows_latency(result):
+            self._queue.observe(query_class, took_s)
+            self._hedge_delay(query_class).record(took_s)
+        metrics = QueryMetrics.of(query_class, sub_query.tenant)
+        metrics.call_latency_s.observe(took_s)
+
+    def _greet(self, server: BackendServer, now_s: float) -> None:
+        """Open connections to a process that is new, and believe who knows it to be warm."""
+        if server.process_id in self._shared.warm_processes(server.name, now_s):
+            server.told_warm(server.process_id)
+        connections = min(server.slots + 1, server.connection_quota)
+        self._spawn(self._shared.client.warm_up(server.address, connections))
+
+    def _hedge_delay(self, query_class: str) -> HedgeDelay:
+        delay = self._hedge_delays.get(query_class)
+        if delay is None:
+            delay = HedgeDelay(self.budgets.of(query_class).share)
+            self._hedge_delays[query_class] = delay
+        return delay
+
+    def _bundles_of(
+        self, collection: str, index_version: int, shards: tuple[str, ...]
+    ) -> list[Bundle] | None:
+        """Return the shards by their replicas, or none where the snapshot is gone."""
+        name = (collection, index_version, shards)
+        known = self._bundles.get(name)
+        if known is None:
+            known = self._split(collection, index_version, shards)
+            if known is not None and len(self._bundles) < MAX_CACHED_BUNDLES:
+                self._bundles[name] = known
+        return known
+
+    def _split(
+        self, collection: str, index_version: int, shards: tuple[str, ...]
+    ) -> list[Bundle] | None:
+        configured = self._document.collections.get(collection)
+        snapshot = configured.snapshot(index_version) if configured else None
+        if snapshot is None or any(shard not in snapshot.shards for shard in shards):
+            return None
+        by_replicas: dict[tuple[str, ...], list[str]] = {}
+        for shard in shards:
+            replicas = tuple(sorted(snapshot.shards[shard].replicas))
+            if any(name not in self.servers for name in replicas):
+                return None
+            by_replicas.setdefault(replicas, []).append(shard)
+        return [(replicas, tuple(names)) for replicas, names in by_replicas.items()]
+
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _shows_latency(result: CallResult) -> bool:
+    """Return whether a call occupied its slot for as long as work takes, or longer."""
+    if isinstance(result, CallFailure):
+        return result.fault is CallFault.TIMEOUT
+    return isinstance(result, BackendAnswer) or result.reason == UNWANTED
+
 
 def _joined(name: str, outcomes: list[GroupOutcome]) -> GroupOutcome:
     if len(outcomes) == 1:
@@ -211,24 +339,5 @@
         joined.missing.extend(outcome.missing)
         joined.attempts.extend(outcome.attempts)
         joined.sent = joined.sent or outcome.sent
+        joined.retry_after_s = max(joined.retry_after_s, outcome.retry_after_s)
     return joined
-
-
-def _failure_of(result: BackendRefusal | CallFailure) -> Failure:
-    if isinstance(result, BackendRefusal):
-        if result.reason == "index_version":
-            return Failure(ErrorKind.SNAPSHOT_GONE, "replica no longer holds the index version")
-        return Failure(ErrorKind.BACKEND_SHED, f"backend server refused: {result.reason}")
-    if result.fault is CallFault.TIMEOUT:
-        return Failure(ErrorKind.DEADLINE_EXCEEDED, result.reason)
-    if result.fault is CallFault.BAD_ANSWER:
-        return Failure(ErrorKind.BACKEND_FAULT, result.reason)
-    return Failure(ErrorKind.BACKEND_LOST, result.reason)
-
-
-def _name_of(result: BackendAnswer | BackendRefusal | CallFailure) -> str:
-    if isinstance(result, BackendAnswer):
-        return "answered"
-    if isinstance(result, BackendRefusal):
-        return result.reason
-    return result.fault.value
--- a/fighinge/aggregator/service.py
+++ b/fighinge/aggregator/service.py
@@ -7,57 +7,133 @@
 
 import logbook
 
-from fighinge.aggregator.base import CallFailure
+from fighinge.aggregator.backend_server import BackendServer
 from fighinge.aggregator.replica_group import ReplicaGroup
-from fighinge.errors import ErrorKind
+from fighinge.aggregator.shared import SharedParts
+from fighinge.aggregator.tenure import Holdings
+from fighinge.errors import ErrorKind, Failure
+from fighinge.facts import Fact, FactKind
 from fighinge.groups import GroupMap
 from fighinge.messages import failed_group
+from fighinge.ownership import zone_in_service
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from fighinge.aggregator.backend_server import BackendServer
     from fighinge.aggregator.base import BackendClient
+    from fighinge.aggregator.policy import Policy
+    from fighinge.aggregator.tenure import FleetView
+    from fighinge.facts import FactBoard
     from fighinge.messages import GroupOutcome, GroupShards, GroupStatus, SubQuery
     from fighinge.model import Document
 
 logger = logbook.Logger(__name__)
 
 STATE_INTERVAL_S = 0.5
-STATE_TIMEOUT_S = 0.4
+WARM_FACT_S = 15.0
+NOT_OWNER_RETRY_AFTER_S = 0.1
 
 
 class AggregatorService:
-    """Holds the replica groups that this process was asked for and runs sub-queries on them.
+    """Holds the replica groups that this process owns or took over and runs sub-queries on them.
 
-    A group is taken up when it is first asked for or when this process owns it.
+    Without a fleet view every group is owned. A sub-query for a group that is not held is run
+    only if the entry marks it as a takeover; otherwise the entry asks the next aggregator.
     """
 
-    __slots__ = ("_client", "_clock", "_document", "_group_map", "_groups", "_running", "_tasks")
+    __slots__ = (
+        "_document",
+        "_group_map",
+        "_groups",
+        "_holdings",
+        "_is_stopping",
+        "_running",
+        "_servers",
+        "_shared",
+        "_tasks",
+        "_zone",
+    )
 
-    def __init__(self, client: BackendClient, clock: Callable[[], float]) -> None:
-        self._client = client
-        self._clock = clock
+    def __init__(
+        self,
+        client: BackendClient,
+        clock: Callable[[], float],
+        *,
+        name: str = "",
+        zone: str = "",
+        fleet: FleetView | None = None,
+        facts: FactBoard | None = None,
+        policy: Policy | None = None,
+        seed: int | None = None,
+    ) -> None:
+        self._shared = SharedParts(client, clock, policy, facts, seed)
+        self._shared.facts.listen(self._take_fact)
+        self._zone = zone
+        self._holdings = Holdings(name, fleet)
         self._document: Document | None = None
         self._group_map: GroupMap | None = None
         self._groups: dict[str, ReplicaGroup] = {}
+        self._servers: dict[str, BackendServer] = {}
+        self._is_stopping = False
         self._tasks: set[asyncio.Task] = set()
         self._running: dict[str, dict[int, list[asyncio.Task]]] = {}
 
+    @property
+    def shared(self) -> SharedParts:
+        """Return what the groups have in common."""
+        return self._shared
+
     def configure(self, document: Document) -> None:
-        """Put a configuration document in force; unchanged groups keep their state."""
+        """Put a configuration document in force; unchanged groups keep their state.
+
+        A server keeps its state also where its group is another one now.
+        """
         self._document = document
         self._group_map = GroupMap.from_document(document)
-        self._groups.clear()
-        for group in self._group_map.groups.values():
-            self._groups[group.name] = ReplicaGroup.from_config(
-                group, document, self._client, self._clock
-            )
+        self._shared.budgets.configure(document)
+        self._configure_servers(document)
+        for name in [name for name in self._groups if name not in self._group_map.groups]:
+            self._drop(name)
+        for name, group in self._groups.items():
+            group.configure(self._members(name), document)
+        self.review()
+
+    def review(self) -> None:
+        """Take up the groups that are owned now and let go of those that are not."""
+        if self._document is None:
+            return
+        now_s = self._shared.clock()
+        left = self._holdings.review(self._group_map, self._document, now_s)
+        for name in self._holdings.names():
+            if name not in self._groups:
+                self._take_up(name, "owned")
+        for name in left:
+            logger.notice("group {} is owned by another aggregator now", name)
+            self._tell_warm(name, now_s)
+        for name in self._holdings.expired(now_s):
+            if name not in self._groups or not self._groups[name].running:
+                self._drop(name)
+
+    def stop(self) -> None:
+        """Refuse new work and tell the next owners what is warm; what runs goes on."""
+        self._is_stopping = True
+        now_s = self._shared.clock()
+        for name in self._groups:
+            self._tell_warm(name, now_s)
+
+    @property
+    def running(self) -> int:
+        """Return how many groups' shares of queries are being run."""
+        return len(self._tasks)
 
     def statuses(self) -> list[GroupStatus]:
         """Return what is believed of each group taken up."""
         return [group.status() for group in self._groups.values()]
 
+    def groups(self) -> list[ReplicaGroup]:
+        """Return the held groups."""
+        return list(self._groups.values())
+
     def submit(
         self,
         sub_query: SubQuery,
@@ -68,7 +144,12 @@
 
         :param entry: names the stream that the sub-query came by; see :meth:`cancel`
         """
-        deadline_s = self._clock() + sub_query.remaining_s
+        refusal = self._refusal()
+        if refusal is not None:
+            for wanted in sub_query.groups:
+                reply(sub_query.call, _refused(wanted, refusal))
+            return
+        deadline_s = self._shared.clock() + sub_query.remaining_s
         tasks = [
             asyncio.create_task(self._run(sub_query, wanted, deadline_s, reply))
             for wanted in sub_query.groups
@@ -76,9 +157,7 @@
         self._running.setdefault(entry, {})[sub_query.call] = tasks
         for task in tasks:
             self._tasks.add(task)
-            task.add_done_callback(
-                lambda done: self._ended(done, entry, sub_query.call),
-            )
+            task.add_done_callback(lambda done: self._ended(done, entry, sub_query.call))
 
     def cancel(self, entry: str, call: int) -> None:
         """Give a sub-query up: stop its calls at the backend servers and reply nothing more."""
@@ -90,13 +169,29 @@
         for call in list(self._running.get(entry, ())):
             self.cancel(entry, call)
 
-    def _ended(self, task: asyncio.Task, entry: str, call: int) -> None:
-        self._tasks.discard(task)
-        calls = self._running.get(entry, {})
-        if all(other.done() for other in calls.get(call, ())):
-            calls.pop(call, None)
-        if not calls:
-            self._running.pop(entry, None)
+    async def poll_states(self) -> None:
+        """Review the ownership and ask the held servers for their states, again and again."""
+        while True:
+            self.review()
+            await asyncio.gather(
+                *(
+                    group.poll(server)
+                    for group in self._groups.values()
+                    for server in group.servers.values()
+                    if server.zone_in_service
+                )
+            )
+            await asyncio.sleep(STATE_INTERVAL_S)
+
+    def _refusal(self) -> Failure | None:
+        """Return why no new work is taken at all, if so."""
+        if self._is_stopping:
+            return Failure(ErrorKind.STOPPING, "the aggregator is stopping")
+        if self._document is None:
+            return Failure(ErrorKind.NOT_READY, "no configuration is confirmed yet")
+        if self._zone and not zone_in_service(self._document, self._zone):
+            return Failure(ErrorKind.ZONE_OUT, f"zone {self._zone} is out of service")
+        return None
 
     async def _run(
         self,
@@ -105,26 +200,107 @@
         deadline_s: float,
         reply: Callable[[int, GroupOutcome], None],
     ) -> None:
-        group = self._groups.get(wanted.group)
-        if group is None:
-            reason = "the group is not configured here"
-            outcome = failed_group(
-                wanted.group, wanted.shards, ErrorKind.NOT_OWNER, reason, sent=False
-            )
+        group = self._group_for(sub_query, wanted.group)
+        if isinstance(group, Failure):
+            outcome = _refused(wanted, group)
         else:
-            outcome = await group.run(sub_query, wanted.shards, deadline_s)
+            try:
+                outcome = await group.run(sub_query, wanted.shards, deadline_s)
+            except Exception:
+                logger.exception("a sub-query failed on group {}", wanted.group)
+                reason = "the aggregator failed"
+                outcome = failed_group(
+                    wanted.group, wanted.shards, ErrorKind.INTERNAL, reason, sent=True
+                )
         reply(sub_query.call, outcome)
 
-    async def poll_states(self) -> None:
-        """Ask every backend server for its state, again and again."""
-        while True:
-            servers = [
-                server for group in self._groups.values() for server in group.servers.values()
-            ]
-            await asyncio.gather(*(self._poll(server) for server in servers))
-            await asyncio.sleep(STATE_INTERVAL_S)
+    def _group_for(self, sub_query: SubQuery, name: str) -> ReplicaGroup | Failure:
+        if name not in self._group_map.groups:
+            return Failure(ErrorKind.NOT_OWNER, "the group is not configured here")
+        now_s = self._shared.clock()
+        if not self._holdings.asked(name, now_s, takeover=sub_query.takeover):
+            return Failure(ErrorKind.NOT_OWNER, "the group is owned by another aggregator")
+        if name not in self._groups:
+            self._take_up(name, "takeover")
+        return self._groups[name]
+
+    def _ended(self, task: asyncio.Task, entry: str, call: int) -> None:
+        self._tasks.discard(task)
+        calls = self._running.get(entry, {})
+        if all(other.done() for other in calls.get(call, ())):
+            calls.pop(call, None)
+        if not calls:
+            self._running.pop(entry, None)
+
+    def _configure_servers(self, document: Document) -> None:
+        now_s = self._shared.clock()
+        for name in list(self._servers):
+            entry = document.backend_servers.get(name)
+            if entry is None or not self._servers[name].is_same(entry):
+                del self._servers[name]
+                continue
+            self._servers[name].reconfigure(
+                entry, zone_in_service=zone_in_service(document, entry.zone), now_s=now_s
+            )
+
+    def _members(self, group: str) -> dict[str, BackendServer]:
+        """Return the servers of a group, those not yet known as cold ones."""
+        return {name: self._server(name) for name in self._group_map.groups[group].backend_servers}
+
+    def _server(self, name: str) -> BackendServer:
+        known = self._servers.get(name)
+        if known is not None:
+            return known
+        shared, entry = self._shared, self._document.backend_servers[name]
+        server = BackendServer.from_config(name, entry, shared.clock(), shared.policy)
+        server.zone_in_service = zone_in_service(self._document, entry.zone)
+        server.is_near = not self._zone or entry.zone == self._zone
+        shared.client.set_quota(server.address, server.connection_quota)
+        self._servers[name] = server
+        return server
+
+    def _take_up(self, name: str, cause: str) -> None:
+        logger.notice("group {} is taken up: {}", name, cause)
+        group = ReplicaGroup(
+            self._group_map.groups[name], self._members(name), self._document, self._shared
+        )
+        self._groups[name] = group
+        for server in group.servers.values():
+            if server.zone_in_service:
+                self._spawn(group.poll(server))
+
+    def _drop(self, name: str) -> None:
+        self._holdings.drop(name)
+        group = self._groups.pop(name, None)
+        if group is None:
+            return
+        logger.notice("group {} is no longer held", name)
+        current = self._group_map.groups
+        kept = {
+            server for other in self._groups if other in current for server in self._members(other)
+        }
+        for server in group.servers:
+            if server not in kept and name in current:
+                self._servers.pop(server, None)
+
+    def _tell_warm(self, name: str, now_s: float) -> None:
+        group = self._groups.get(name)
+        for server in group.servers.values() if group else ():
+            if not server.cold_start.is_cold:
+                fact = Fact(FactKind.WARM, server.name, server.process_id, now_s + WARM_FACT_S)
+                self._shared.facts.add(fact, now_s)
+
+    def _take_fact(self, fact: Fact) -> None:
+        if fact.kind is FactKind.WARM and fact.key in self._servers:
+            self._servers[fact.key].told_warm(fact.value)
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
 
-    async def _poll(self, server: BackendServer) -> None:
-        state = await self._client.state(server.address, STATE_TIMEOUT_S)
-        if not isinstance(state, CallFailure):
-            server.reported(state)
+def _refused(wanted: GroupShards, failure: Failure) -> GroupOutcome:
+    outcome = failed_group(wanted.group, wanted.shards, failure.kind, failure.reason, sent=False)
+    outcome.retry_after_s = NOT_OWNER_RETRY_AFTER_S
+    return outcome
