Refuse bad input with clear errors and count queries by tenant and class

Cause: too large or slow bodies and header floods ended connections without an answer, /v1/entries failed with 500 before a configuration, a repeated Content-Length raised in the handler, and a caller's hang-up left its query running. Change: the query handler reads the body itself within size and time, each refusal is an error of the closed list (new: unknown_path, wrong_method) with the field and the request id where it can be read; hang-up cancels the query; histograms of latency, coverage, attempts and queue time; log lines carry the request id, and libraries' lines go through the same handler.

--- a/fighinge/aggregator/service.py
+++ b/fighinge/aggregator/service.py
@@ -11,6 +11,7 @@
 from fighinge.aggregator.replica_group import ReplicaGroup
 from fighinge.errors import ErrorKind
 from fighinge.groups import GroupMap
+from fighinge.logs import bind_request_id
 from fighinge.messages import failed_group
 
 if TYPE_CHECKING:
@@ -105,6 +106,7 @@
         deadline_s: float,
         reply: Callable[[int, GroupOutcome], None],
     ) -> None:
+        bind_request_id(sub_query.request_id)
         group = self._groups.get(wanted.group)
         if group is None:
             reason = "the group is not configured here"
--- a/fighinge/cmd/entry.py
+++ b/fighinge/cmd/entry.py
@@ -15,6 +15,8 @@
 from fighinge.entry.snapshots import SnapshotChooser
 from fighinge.entry.stream_link import StreamLinks
 from fighinge.entry.tickets import TicketRegistry
+from fighinge.errors import ErrorKind, Failure
+from fighinge.metrics import QueryLabels
 from fighinge.process import Node, run_process, wait_for_stop
 
 if TYPE_CHECKING:
@@ -47,12 +49,19 @@
     tickets = TicketRegistry.create(settings.address)
     peers = HttpPeerEntries.create(node.fleet)
 
-    def entries(caller: str, zone: str) -> EntriesAnswer:
+    def entries(caller: str, zone: str) -> EntriesAnswer | Failure:
+        if node.store.accepted is None:
+            return Failure(ErrorKind.NOT_READY, "no configuration is confirmed yet")
         answer = node.fleet.entries(node.store.accepted.document, caller, zone)
         answer.tickets = tickets.mint(TICKETS_IN_ANSWER, clock())
         return answer
 
-    server = create_server(AtMostOnceQueries(service, tickets, peers, clock), entries)
+    def labels_of(service_name: str) -> QueryLabels:
+        accepted = node.store.accepted
+        return QueryLabels.from_document(accepted.document if accepted else None, service_name)
+
+    queries = AtMostOnceQueries(service, tickets, peers, clock)
+    server = create_server(queries, entries, labels_of)
     node.start()
     server.listen(settings.entry_port, settings.address)
     logger.info("entry listens on {}:{}", settings.address, settings.entry_port)
--- a/fighinge/entry/http_server.py
+++ b/fighinge/entry/http_server.py
@@ -2,35 +2,55 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
+import logbook
 import msgspec
 import prometheus_client
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, RequestHandler, stream_request_body
 
+from fighinge.entry.bad_input import decode_request, find_request_id
 from fighinge.entry.peer_entries import FORWARDED_HEADER
 from fighinge.entry.query_service import query_error
 from fighinge.errors import ANSWERS, ErrorKind, Failure
+from fighinge.logs import bind_request_id
+from fighinge.metrics import QueryLabels, observe_query
 from fighinge.queries import QueryError, QueryRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fighinge.entry.at_most_once import AtMostOnceQueries
-    from fighinge.queries import EntriesAnswer
+    from fighinge.queries import EntriesAnswer, QueryAnswer
 
-MAX_BODY_BYTES = 1024 * 1024
-MAX_HEADER_BYTES = 16 * 1024
-BODY_TIMEOUT_S = 10.0
-IDLE_TIMEOUT_S = 120.0
+logger = logbook.Logger(__name__)
 
-_request_decoder = msgspec.json.Decoder(QueryRequest)
+CLOSED_HEADER_BYTES = 256 * 1024
+DISCARDED_BODY_BYTES = 16 * 1024 * 1024
+
+
+class HttpLimits(msgspec.Struct, frozen=True):
+    """What the interface takes of one request."""
+
+    body_bytes: int = 1024 * 1024
+    header_bytes: int = 16 * 1024
+    body_timeout_s: float = 10.0
+    idle_timeout_s: float = 120.0
 
 
 class BaseHandler(RequestHandler):
     """Writes messages and errors as JSON."""
 
+    def prepare(self) -> None:
+        """Refuse a flood of headers."""
+        limits: HttpLimits = self.settings["limits"]
+        size = sum(len(name) + len(value) for name, value in self.request.headers.get_all())
+        if size + len(self.request.uri or "") > limits.header_bytes:
+            reason = f"the headers have more than {limits.header_bytes} bytes"
+            self.write_failure(Failure(ErrorKind.TOO_LARGE, reason, "headers"))
+
     def write_message(self, message: msgspec.Struct, status: int = 200) -> None:
         """Finish the response with a message."""
         self.set_status(status)
@@ -43,40 +63,129 @@
             self.set_header("Retry-After", str(max(1, round(error.retry_after_s))))
         self.write_message(error, ANSWERS[error.kind].http_status)
 
+    def write_failure(self, failure: Failure, request_id: str = "") -> None:
+        """Finish the response with the error that a failure means to a caller."""
+        self.write_query_error(query_error(request_id, failure))
+
     def write_error(self, status_code: int, **_kwargs: object) -> None:
-        """Answer what tornado itself refuses, or an unexpected exception."""
-        kind = ErrorKind.INTERNAL if status_code >= 500 else ErrorKind.BAD_REQUEST
-        self.write_message(query_error("", Failure(kind, self._reason)), status_code)
+        """Answer what tornado itself refuses, or an unexpected exception, without details."""
+        if status_code == 405:
+            reason = f"{self.request.method} is not served at this path"
+            self.write_failure(Failure(ErrorKind.WRONG_METHOD, reason, "method"))
+        elif status_code >= 500:
+            self.write_failure(Failure(ErrorKind.INTERNAL, "internal error"))
+        else:
+            self.write_failure(Failure(ErrorKind.BAD_REQUEST, self._reason))
 
 
+class UnknownPathHandler(BaseHandler):
+    """Answers for every path that is not served."""
+
+    def prepare(self) -> None:
+        """Refuse the request."""
+        self.write_failure(Failure(ErrorKind.UNKNOWN_PATH, "nothing is served here", "path"))
+
+
+@stream_request_body
 class QueryHandler(BaseHandler):
     """``POST /v1/services/NAME/query``"""
 
-    def initialize(self, service: AtMostOnceQueries) -> None:
+    def initialize(
+        self, service: AtMostOnceQueries, labels_of: Callable[[str], QueryLabels]
+    ) -> None:
         """Take what the application hands to each request."""
         self._service = service
+        self._labels_of = labels_of
+        self._body = bytearray()
+        self._too_large = False
+        self._late: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task | None = None
+
+    def prepare(self) -> None:
+        """Refuse what is too large at once and expect the body in time."""
+        super().prepare()
+        if self._finished:
+            return
+        length = _announced_length(self.request.headers.get("Content-Length", ""))
+        self.request.connection.set_max_body_size(max(length, DISCARDED_BODY_BYTES))
+        if length > DISCARDED_BODY_BYTES:
+            self._refuse_body()
+            return
+        limits: HttpLimits = self.settings["limits"]
+        self._late = asyncio.get_running_loop().call_later(
+            limits.body_timeout_s, self._refuse_late_body
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body, and no more than is allowed of it."""
+        limit = self.settings["limits"].body_bytes
+        if len(self._body) + len(chunk) > limit:
+            self._too_large = True
+        else:
+            self._body.extend(chunk)
 
     async def post(self, name: str) -> None:
         """Answer a query."""
+        self._late.cancel()
+        if self._too_large:
+            self._refuse_body()
+            return
+        body = bytes(self._body)
+        request = decode_request(body)
+        if isinstance(request, Failure):
+            self.write_failure(request, find_request_id(body))
+            return
+        self._task = asyncio.create_task(self._answer(name, request))
         try:
-            request = _request_decoder.decode(self.request.body)
-        except (msgspec.DecodeError, RecursionError) as error:
-            reason, _found, path = str(error).partition(" - at `$.")
-            failure = Failure(ErrorKind.BAD_REQUEST, reason, path.rstrip("`"))
-            self.write_query_error(query_error("", failure))
+            result = await self._task
+        except asyncio.CancelledError:
             return
-        forwarded = FORWARDED_HEADER in self.request.headers
-        result = await self._service.query(name, request, forwarded=forwarded)
         if isinstance(result, QueryError):
             self.write_query_error(result)
         else:
             self.write_message(result)
 
+    def on_connection_close(self) -> None:
+        """Stop a query whose caller has hung up."""
+        if self._late is not None:
+            self._late.cancel()
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _answer(self, name: str, request: QueryRequest) -> QueryAnswer | QueryError:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        bind_request_id(request.request_id)
+        labels = self._labels_of(name)
+        cancelled = query_error(request.request_id, Failure(ErrorKind.CANCELLED, "hung up"))
+        result: QueryAnswer | QueryError = cancelled
+        try:
+            forwarded = FORWARDED_HEADER in self.request.headers
+            result = await self._service.query(name, request, forwarded=forwarded)
+        except Exception:
+            logger.exception("a query failed unexpectedly")
+            failure = Failure(ErrorKind.INTERNAL, "internal error")
+            result = query_error(request.request_id, failure)
+        finally:
+            observe_query(labels, result, loop.time() - started_s)
+        return result
+
+    def _refuse_body(self) -> None:
+        limit = self.settings["limits"].body_bytes
+        reason = f"the body has more than {limit} bytes"
+        self.write_failure(Failure(ErrorKind.TOO_LARGE, reason, "body"))
+
+    def _refuse_late_body(self) -> None:
+        if not self._finished:
+            timeout_s = self.settings["limits"].body_timeout_s
+            reason = f"the body did not arrive within {timeout_s:g} s"
+            self.write_failure(Failure(ErrorKind.BAD_REQUEST, reason, "body"))
+
 
 class EntriesHandler(BaseHandler):
     """``GET /v1/entries``"""
 
-    def initialize(self, entries: Callable[[str, str], EntriesAnswer]) -> None:
+    def initialize(self, entries: Callable[[str, str], EntriesAnswer | Failure]) -> None:
         """Take what the application hands to each request."""
         self._entries = entries
 
@@ -84,7 +193,11 @@
         """Tell a caller which entries to use."""
         caller = self.get_query_argument("caller", self.request.remote_ip or "")
         zone = self.get_query_argument("zone", "")
-        self.write_message(self._entries(caller, zone))
+        answer = self._entries(caller, zone)
+        if isinstance(answer, Failure):
+            self.write_failure(answer)
+        else:
+            self.write_message(answer)
 
 
 class HealthHandler(BaseHandler):
@@ -117,26 +230,39 @@
         self.finish(prometheus_client.generate_latest())
 
 
+def _announced_length(text: str) -> int:
+    """Return the body's announced length, 0 where tornado will refuse the header."""
+    return int(text) if text.isascii() and text.isdecimal() and len(text) < 20 else 0
+
+
 def create_server(
-    service: AtMostOnceQueries, entries: Callable[[str, str], EntriesAnswer]
+    service: AtMostOnceQueries,
+    entries: Callable[[str, str], EntriesAnswer | Failure],
+    labels_of: Callable[[str], QueryLabels] = lambda _name: QueryLabels(),
+    limits: HttpLimits | None = None,
 ) -> HTTPServer:
-    """Return the HTTP server of an entry, not yet listening."""
+    """Return the HTTP server of an entry, not yet listening.
+
+    :param labels_of: function from a service's name to the labels of its metrics
+    """
+    limits = limits or HttpLimits()
+    query_arguments = {"service": service, "labels_of": labels_of}
     application = Application(
         [
-            (r"/v1/services/([A-Za-z0-9_.-]+)/query", QueryHandler, {"service": service}),
+            (r"/v1/services/([^/]+)/query", QueryHandler, query_arguments),
             (r"/v1/entries", EntriesHandler, {"entries": entries}),
             (r"/healthz", HealthHandler),
             (r"/readyz", ReadyHandler, {"service": service}),
             (r"/metrics", MetricsHandler),
         ],
-        default_handler_class=BaseHandler,
+        default_handler_class=UnknownPathHandler,
         log_function=lambda _handler: None,
+        limits=limits,
     )
     return HTTPServer(
         application,
-        max_body_size=MAX_BODY_BYTES,
-        max_buffer_size=MAX_BODY_BYTES,
-        max_header_size=MAX_HEADER_BYTES,
-        body_timeout=BODY_TIMEOUT_S,
-        idle_connection_timeout=IDLE_TIMEOUT_S,
+        max_body_size=limits.body_bytes,
+        max_buffer_size=max(limits.body_bytes, CLOSED_HEADER_BYTES),
+        max_header_size=CLOSED_HEADER_BYTES,
+        idle_connection_timeout=limits.idle_timeout_s,
     )
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -15,7 +15,9 @@
 from fighinge.entry.snapshots import SnapshotChooser
 from fighinge.errors import ErrorKind, Failure
 from fighinge.groups import GroupMap
+from fighinge.logs import bind_request_id
 from fighinge.messages import After, Search
+from fighinge.metrics import QueryLabels, observe_traces
 from fighinge.ownership import Candidate, owner_order
 from fighinge.queries import QueryAnswer, QueryError, QueryRequest, SnapshotName, Trace
 
@@ -91,6 +93,7 @@
     async def query(self, service_name: str, request: QueryRequest) -> QueryAnswer | QueryError:
         """Answer one request, whole or with an error of the closed list."""
         request_id = request.request_id or uuid.uuid4().hex
+        bind_request_id(request_id)
         result = await self._answer(service_name, request, request_id)
         if isinstance(result, Failure):
             return query_error(request_id, result)
@@ -105,7 +108,9 @@
             return Failure(ErrorKind.NOT_READY, "no configuration is confirmed yet")
         service = document.services.get(service_name)
         if service is None:
-            return Failure(ErrorKind.UNKNOWN_SERVICE, f"no service {service_name!r}", "service")
+            return Failure(
+                ErrorKind.UNKNOWN_SERVICE, f"no service {service_name[:64]!r}", "service"
+            )
         cursor = decode_cursor(request.cursor) if request.cursor else None
         if isinstance(cursor, Failure):
             return cursor
@@ -116,6 +121,7 @@
             request, request_id, service_name, service, snapshot, cursor, started_s
         )
         await run.run()
+        observe_traces(QueryLabels(service.tenant, service.query_class), run.traces)
         return self._finish(request, request_id, service, run, started_s)
 
     def _snapshot(
--- a/fighinge/errors.py
+++ b/fighinge/errors.py
@@ -12,6 +12,8 @@
 
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
+    UNKNOWN_PATH = "unknown_path"
+    WRONG_METHOD = "wrong_method"
     UNKNOWN_SERVICE = "unknown_service"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
@@ -50,6 +52,8 @@
 ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.BAD_REQUEST: Answer(400, may_resend=False, not_run=True),
     ErrorKind.TOO_LARGE: Answer(413, may_resend=False, not_run=True),
+    ErrorKind.UNKNOWN_PATH: Answer(404, may_resend=False, not_run=True),
+    ErrorKind.WRONG_METHOD: Answer(405, may_resend=False, not_run=True),
     ErrorKind.UNKNOWN_SERVICE: Answer(404, may_resend=False, not_run=True),
     ErrorKind.NOT_READY: Answer(503, may_resend=True, not_run=True),
     ErrorKind.STOPPING: Answer(503, may_resend=True, not_run=True),
--- /dev/null
+++ b/tests/systems.py
@@ -0,0 +1,50 @@
+"""A whole system in one process: an entry, an aggregator and stand-in backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from fighinge.aggregator.service import AggregatorService
+from fighinge.entry.query_service import QueryService
+from fighinge.entry.snapshots import SnapshotChooser
+from fighinge.ownership import Candidate
+from standins.backend import StandinServer
+from standins.direct import DirectBackendClient, DirectLinks
+from tests.builders import document
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+SETTLE_S = 0.05
+
+
+class OneAggregator:
+    """A fleet of one aggregator."""
+
+    def aggregators(self) -> list[Candidate]:
+        """Return the one."""
+        return [Candidate("a1", "z1")]
+
+
+@contextlib.asynccontextmanager
+async def whole_system(**changes) -> AsyncIterator[QueryService]:
+    """Yield an entry that answers queries; see ``builders.raw_document`` for the changes."""
+    clock = asyncio.get_running_loop().time
+    configured = document(**changes)
+    client = DirectBackendClient(
+        StandinServer(name, configured, seed=1) for name in configured.backend_servers
+    )
+    aggregator = AggregatorService(client, clock)
+    aggregator.configure(configured)
+    polling = asyncio.create_task(aggregator.poll_states())
+    service = QueryService(
+        "e1", OneAggregator(), DirectLinks({"a1": aggregator}), SnapshotChooser(), clock
+    )
+    service.configure(1, configured)
+    await asyncio.sleep(SETTLE_S)
+    try:
+        yield service
+    finally:
+        polling.cancel()
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,115 @@
+"""Tests of the entry's HTTP interface beside bad input."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import logbook
+import msgspec
+import pytest
+from tornado.testing import bind_unused_port
+
+from fighinge.curl import create_client
+from fighinge.entry.http_server import create_server
+from fighinge.errors import ErrorKind, Failure
+from fighinge.logs import add_request_id, bind_request_id
+from fighinge.metrics import QueryLabels
+from fighinge.queries import QueryError
+
+
+class SlowQueries:
+    """Queries that never end by themselves."""
+
+    ready = False
+
+    def __init__(self):
+        self.started = asyncio.Event()
+        self.cancelled = asyncio.Event()
+
+    async def query(self, _name, _request, *, forwarded=False):
+        self.started.set()
+        try:
+            await asyncio.sleep(60)
+        finally:
+            self.cancelled.set()
+
+
+class FailingQueries:
+    """Queries that fail by a fault in the program."""
+
+    ready = True
+
+    async def query(self, _name, _request, *, forwarded=False):
+        raise ValueError("secret")
+
+
+@contextlib.asynccontextmanager
+async def _serving(queries, entries=None):
+    server = create_server(queries, entries, lambda _name: QueryLabels("vaquero", "desk"))
+    sock, port = bind_unused_port()
+    server.add_socket(sock)
+    client = create_client(10)
+    try:
+        yield client, f"http://127.0.0.1:{port}"
+    finally:
+        client.close()
+        server.stop()
+        await server.close_all_connections()
+
+
+def test_query_of_a_caller_that_hangs_up_is_cancelled():
+    async def run():
+        queries = SlowQueries()
+        async with _serving(queries) as (_client, url):
+            _reader, writer = await asyncio.open_connection("127.0.0.1", int(url.split(":")[2]))
+            writer.write(b"POST /v1/services/desk/query HTTP/1.1\r\nHost: x\r\n")
+            writer.write(b"Content-Length: 2\r\n\r\n{}")
+            await asyncio.wait_for(queries.started.wait(), 5)
+            writer.close()
+            await asyncio.wait_for(queries.cancelled.wait(), 5)
+
+    asyncio.run(run())
+
+
+def test_unexpected_exception_leaks_nothing_and_is_counted():
+    async def run():
+        async with _serving(FailingQueries()) as (client, url):
+            response = await client.fetch(
+                f"{url}/v1/services/desk/query",
+                method="POST",
+                body=b'{"request_id": "r-9"}',
+                raise_error=False,
+            )
+            metrics = await client.fetch(f"{url}/metrics")
+            return response, metrics
+
+    response, metrics = asyncio.run(run())
+    error = msgspec.json.decode(response.body, type=QueryError)
+    assert (response.code, error.kind, error.request_id) == (500, ErrorKind.INTERNAL, "r-9")
+    assert b"secret" not in response.body
+    counted = 'fighinge_query_errors_total{kind="internal",query_class="desk",tenant="vaquero"} 1.0'
+    assert counted in metrics.body.decode()
+
+
+@pytest.mark.parametrize("path", ["/v1/entries", "/readyz"])
+def test_not_ready_before_a_configuration_is_in_force(path):
+    async def run():
+        def entries(_caller, _zone):
+            return Failure(ErrorKind.NOT_READY, "no configuration is confirmed yet")
+
+        async with _serving(SlowQueries(), entries) as (client, url):
+            return await client.fetch(url + path, raise_error=False)
+
+    assert asyncio.run(run()).code == 503
+
+
+def test_log_lines_about_a_request_have_its_identifier():
+    async def run():
+        bind_request_id("r-7")
+        logbook.Logger("x").info("about a request")
+
+    with logbook.TestHandler() as handler, logbook.Processor(add_request_id):
+        asyncio.run(run())
+        logbook.Logger("x").info("about none")
+    assert [record.extra.get("request_id") for record in handler.records] == ["r-7", None]
