--- a/fighinge/aggregator/service.py
+++ b/fighinge/aggregator/service.py
@@ -14,6 +14,7 @@
 from fighinge.errors import ErrorKind, Failure
 from fighinge.facts import Fact, FactKind
 from fighinge.groups import GroupMap
+from fighinge.logs import bind_request_id
 from fighinge.messages import failed_group
 from fighinge.ownership import zone_in_service
 
@@ -200,6 +201,7 @@
         deadline_s: float,
         reply: Callable[[int, GroupOutcome], None],
     ) -> None:
+        bind_request_id(sub_query.request_id)
         group = self._group_for(sub_query, wanted.group)
         if isinstance(group, Failure):
             outcome = _refused(wanted, group)
