--- a/fighinge/aggregator/stream_server.py
+++ b/fighinge/aggregator/stream_server.py
@@ -3,86 +3,193 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
+from collections import deque
 from typing import TYPE_CHECKING
 
 import grpc
 import logbook
 import msgspec
 
+from fighinge.errors import ErrorKind
+from fighinge.messages import failed_group
 from fighinge.wire import frames_pb2
 from fighinge.wire.codec import (
     CHANNEL_OPTIONS,
     EXCHANGE_METHOD,
     EXCHANGE_SERVICE,
+    FULL_FRAME_BYTES,
     aggregator_frame,
     decode_sub_query,
+    encode_outcome,
 )
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from fighinge.aggregator.service import AggregatorService
-    from fighinge.messages import GroupOutcome, GroupStatus
+    from fighinge.messages import GroupOutcome, GroupStatus, SubQuery
 
 logger = logbook.Logger(__name__)
 
 STATUS_INTERVAL_S = 0.5
+MAX_RUNNING_SUB_QUERIES = 2000
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
+CLOSE_GRACE_S = 0.2
 
 
 class EntryStream:
-    """One entry's stream: what was finished and not yet written to it."""
+    """One entry's stream: what runs for it, and what was finished and not yet written to it."""
 
-    __slots__ = ("_outcomes", "_ready", "_service", "_statuses")
+    __slots__ = (
+        "_closing",
+        "_ended",
+        "_name",
+        "_ready",
+        "_running",
+        "_service",
+        "_statuses",
+        "_unsent",
+        "_unsent_bytes",
+    )
 
-    def __init__(self, service: AggregatorService) -> None:
+    def __init__(self, name: str, service: AggregatorService) -> None:
+        self._name = name
         self._service = service
-        self._outcomes: list[tuple[int, GroupOutcome]] = []
-        self._statuses: list[GroupStatus] = []
+        self._running: dict[int, int] = {}
+        self._unsent: deque[frames_pb2.GroupOutcome] = deque()
+        self._unsent_bytes = 0
+        self._statuses: dict[str, GroupStatus] = {}
         self._ready = asyncio.Event()
+        self._closing = False
+        self._ended = False
 
-    def reply(self, call: int, outcome: GroupOutcome) -> None:
-        """Queue an outcome; those that meet before the next write share a frame."""
-        self._outcomes.append((call, outcome))
+    def announce(self, statuses: list[GroupStatus]) -> None:
+        """Queue the groups whose status has changed."""
+        self._statuses.update({status.group: status for status in statuses})
+        self._ready.set()
+
+    def close(self) -> None:
+        """Tell the entry to send nothing more; the stream ends with the last outcome."""
+        self._closing = True
         self._ready.set()
 
     async def receive(self, frames: AsyncIterator[frames_pb2.EntryFrame]) -> None:
-        """Start what the entry sends until it closes the stream."""
-        async for frame in frames:
-            for message in frame.sub_queries:
-                try:
-                    sub_query = decode_sub_query(message)
-                except msgspec.DecodeError as error:
-                    logger.warning("ignored a broken sub-query: {}", error)
-                    continue
-                self._service.submit(sub_query, self.reply)
-
-    async def announce(self) -> None:
-        """Queue the state of the groups whenever it has changed."""
-        announced: list[GroupStatus] = []
-        while True:
-            statuses = self._service.statuses()
-            if statuses != announced:
-                self._statuses = announced = statuses
-                self._ready.set()
-            await asyncio.sleep(STATUS_INTERVAL_S)
+        """Start and cancel what the entry asks for until it sends nothing more."""
+        try:
+            async for frame in frames:
+                for message in frame.sub_queries:
+                    self._take(message)
+                for call in frame.cancelled_calls:
+                    self._cancel(call)
+        finally:
+            self._ended = True
+            if not self._closing:
+                self.abandon()
+            self._ready.set()
+
+    def abandon(self) -> None:
+        """Stop everything that runs for the entry."""
+        self._running.clear()
+        self._service.cancel_all(self._name)
 
     async def frames(self) -> AsyncIterator[frames_pb2.AggregatorFrame]:
-        """Yield frames for as long as the stream is open."""
-        while True:
+        """Yield frames for as long as the stream is open; the first one only greets."""
+        yield aggregator_frame((), [])
+        while not self._ended or self._running or self._unsent:
             await self._ready.wait()
             self._ready.clear()
-            outcomes, self._outcomes = self._outcomes, []
-            statuses, self._statuses = self._statuses, []
-            yield aggregator_frame(outcomes, statuses)
+            yield self._next_frame()
+
+    def _take(self, message: frames_pb2.SubQuery) -> None:
+        try:
+            sub_query = decode_sub_query(message)
+        except msgspec.DecodeError as error:
+            logger.warning("refused a broken sub-query: {}", error)
+            for group in message.groups:
+                self._queue(
+                    message.call,
+                    failed_group(
+                        group.group, group.shards, ErrorKind.BAD_REQUEST, str(error), sent=False
+                    ),
+                )
+            return
+        if self._closing:
+            self._refuse(sub_query, ErrorKind.STOPPING, "the aggregator stops")
+        elif len(self._running) >= MAX_RUNNING_SUB_QUERIES:
+            self._refuse(sub_query, ErrorKind.OVERLOADED, "too much runs for this entry")
+        else:
+            self._running[sub_query.call] = len(sub_query.groups)
+            self._service.submit(sub_query, self._reply, self._name)
+
+    def _cancel(self, call: int) -> None:
+        self._running.pop(call, None)
+        self._service.cancel(self._name, call)
+        self._ready.set()
+
+    def _refuse(self, sub_query: SubQuery, kind: ErrorKind, reason: str) -> None:
+        for wanted in sub_query.groups:
+            outcome = failed_group(wanted.group, wanted.shards, kind, reason, sent=False)
+            self._queue(sub_query.call, outcome)
+
+    def _reply(self, call: int, outcome: GroupOutcome) -> None:
+        """Queue an outcome, unless its call was cancelled."""
+        groups_left = self._running.get(call)
+        if groups_left is None:
+            return
+        if groups_left > 1:
+            self._running[call] = groups_left - 1
+        else:
+            del self._running[call]
+        self._queue(call, outcome)
+
+    def _queue(self, call: int, outcome: GroupOutcome) -> None:
+        """Queue an outcome; those that meet before the next write share a frame."""
+        if self._unsent_bytes > MAX_UNSENT_BYTES:
+            reason = "the entry reads its stream too slowly"
+            outcome = outcome.without_parts(ErrorKind.OVERLOADED, reason)
+        message = encode_outcome(call, outcome)
+        self._unsent.append(message)
+        self._unsent_bytes += message.ByteSize()
+        self._ready.set()
+
+    def _next_frame(self) -> frames_pb2.AggregatorFrame:
+        """Take what waits, up to the size of a full frame."""
+        outcomes, size = [], 0
+        while self._unsent and size < FULL_FRAME_BYTES:
+            outcomes.append(self._unsent.popleft())
+            size += outcomes[-1].ByteSize()
+        self._unsent_bytes -= size
+        statuses, self._statuses = self._statuses, {}
+        if self._unsent:
+            self._ready.set()
+        return aggregator_frame(outcomes, list(statuses.values()), closing=self._closing)
 
 
 class StreamServer:
     """Listens for entries."""
 
-    __slots__ = ("_server", "_service")
+    __slots__ = (
+        "_announced",
+        "_announcer",
+        "_idle",
+        "_numbers",
+        "_server",
+        "_service",
+        "_stopping",
+        "_streams",
+    )
 
     def __init__(self, service: AggregatorService) -> None:
         self._service = service
+        self._streams: set[EntryStream] = set()
+        self._numbers = itertools.count(1)
+        self._announced: dict[str, GroupStatus] = {}
+        self._announcer: asyncio.Task | None = None
+        self._stopping = False
+        self._idle = asyncio.Event()
+        self._idle.set()
         self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
         handler = grpc.stream_stream_rpc_method_handler(
             self._exchange,
@@ -94,29 +201,56 @@
         )
         self._server.add_generic_rpc_handlers((handlers,))
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen on an address.
+    async def start(self, host: str, port: int) -> int:
+        """Listen on an address and return the port.
 
         :raises RuntimeError: if the address is taken
         """
-        self._server.add_insecure_port(f"{host}:{port}")
+        bound_port = self._server.add_insecure_port(f"{host}:{port}")
         await self._server.start()
+        self._announcer = asyncio.create_task(self._announce())
+        return bound_port
 
     async def stop(self, grace_s: float) -> None:
-        """Take no new streams and let open ones finish for up to ``grace_s``."""
-        await self._server.stop(grace_s)
+        """Take nothing new and let what runs finish for up to ``grace_s``, then close."""
+        self._stopping = True
+        for stream in self._streams:
+            stream.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace_s):
+                await self._idle.wait()
+        if self._announcer is not None:
+            self._announcer.cancel()
+        await self._server.stop(CLOSE_GRACE_S)
+
+    async def _announce(self) -> None:
+        """Tell every entry of the groups whose status has changed, again and again."""
+        while True:
+            await asyncio.sleep(STATUS_INTERVAL_S)
+            statuses = self._service.statuses()
+            changed = [status for status in statuses if self._announced.get(status.group) != status]
+            if changed:
+                self._announced = {status.group: status for status in statuses}
+                for stream in self._streams:
+                    stream.announce(changed)
 
     async def _exchange(
-        self, frames: AsyncIterator[frames_pb2.EntryFrame], _context: grpc.aio.ServicerContext
+        self, frames: AsyncIterator[frames_pb2.EntryFrame], context: grpc.aio.ServicerContext
     ) -> AsyncIterator[frames_pb2.AggregatorFrame]:
-        stream = EntryStream(self._service)
-        tasks = [
-            asyncio.create_task(stream.receive(frames)),
-            asyncio.create_task(stream.announce()),
-        ]
+        if self._stopping:
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "the aggregator stops")
+        stream = EntryStream(f"{context.peer()}#{next(self._numbers)}", self._service)
+        stream.announce(self._service.statuses())
+        self._streams.add(stream)
+        self._idle.clear()
+        receiver = asyncio.create_task(stream.receive(frames))
         try:
             async for frame in stream.frames():
                 yield frame
         finally:
-            for task in tasks:
-                task.cancel()
+            self._streams.discard(stream)
+            if not self._streams:
+                self._idle.set()
+            stream.abandon()
+            receiver.cancel()
+            await asyncio.gather(receiver, return_exceptions=True)
--- a/fighinge/entry/stream_link.py
+++ b/fighinge/entry/stream_link.py
@@ -14,8 +14,10 @@
     CHANNEL_OPTIONS,
     EXCHANGE_METHOD,
     EXCHANGE_SERVICE,
+    FULL_FRAME_BYTES,
     decode_outcome,
     decode_statuses,
+    encode_sub_query,
     entry_frame,
 )
 
@@ -28,18 +30,25 @@
 logger = logbook.Logger(__name__)
 
 RECONNECT_PAUSE_S = 0.2
+CONNECT_WAIT_S = 0.25
+MAX_UNSENT_SUB_QUERIES = 1000
 
 
 class StreamLink:
-    """The stream to one aggregator, opened again whenever it breaks.
+    """The stream to one aggregator, opened again whenever it ends.
 
-    Sub-queries that meet before the next write share a frame.
+    Sub-queries that meet before the next write share a frame. While the stream is known to be
+    down, or too many sub-queries wait for a slow one, a new one is refused as not sent.
     """
 
     __slots__ = (
         "_address",
         "_aggregator",
         "_cancelled",
+        "_closing",
+        "_connect_timer",
+        "_connected",
+        "_down",
         "_listeners",
         "_outgoing",
         "_ready",
@@ -52,25 +61,41 @@
         self._address = address
         self._statuses = statuses
         self._listeners: dict[int, tuple[OutcomeListener, int]] = {}
-        self._outgoing: list[SubQuery] = []
+        self._outgoing: dict[int, SubQuery] = {}
         self._cancelled: list[int] = []
         self._ready = asyncio.Event()
+        self._connected = asyncio.Event()
+        self._down = False
+        self._closing = False
+        loop = asyncio.get_running_loop()
+        self._connect_timer = loop.call_later(CONNECT_WAIT_S, self._connect_late)
         self._task = asyncio.create_task(self._run())
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing is outstanding."""
+        return not self._listeners
+
     def send(self, sub_query: SubQuery, listener: OutcomeListener) -> None:
         """Send a sub-query; the listener hears of each of its groups."""
+        if self._down or len(self._outgoing) >= MAX_UNSENT_SUB_QUERIES:
+            listener.link_lost(self._aggregator, sent=False)
+            return
         self._listeners[sub_query.call] = (listener, len(sub_query.groups))
-        self._outgoing.append(sub_query)
+        self._outgoing[sub_query.call] = sub_query
         self._ready.set()
 
     def cancel(self, call: int) -> None:
         """Give a sub-query up; its listener hears nothing more."""
-        if self._listeners.pop(call, None) is not None:
+        if self._listeners.pop(call, None) is None:
+            return
+        if self._outgoing.pop(call, None) is None:
             self._cancelled.append(call)
             self._ready.set()
 
     async def close(self) -> None:
         """Close the stream; outstanding sub-queries count as lost."""
+        self._connect_timer.cancel()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         self._lose_all()
@@ -84,6 +109,9 @@
                     await self._exchange(channel)
             except grpc.RpcError as error:
                 logger.debug("stream to {} broke: {}", self._aggregator, error)
+            except Exception:
+                logger.exception("stream to {} failed", self._aggregator)
+            self._connected.clear()
             self._lose_all()
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
@@ -97,18 +125,36 @@
         writer = asyncio.create_task(self._write(stream))
         try:
             async for frame in stream:
+                self._down = self._closing = frame.closing
+                self._connected.set()
+                if frame.closing:
+                    self._lose_unsent()
                 self._take(frame)
         finally:
-            writer.cancel()
             stream.cancel()
+            writer.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
 
     async def _write(self, stream: grpc.aio.StreamStreamCall) -> None:
-        while True:
+        """Write frames once the aggregator's first frame shows that the stream is up."""
+        await self._connected.wait()
+        while not self._closing:
             await self._ready.wait()
+            await stream.write(self._next_frame())
+        await stream.done_writing()
+
+    def _next_frame(self) -> frames_pb2.EntryFrame:
+        """Take what waits, up to the size of a full frame."""
+        messages, size = [], 0
+        while self._outgoing and size < FULL_FRAME_BYTES:
+            call = next(iter(self._outgoing))
+            message = encode_sub_query(self._outgoing.pop(call))
+            messages.append(message)
+            size += message.ByteSize()
+        cancelled, self._cancelled = self._cancelled, []
+        if not self._outgoing:
             self._ready.clear()
-            sub_queries, self._outgoing = self._outgoing, []
-            cancelled, self._cancelled = self._cancelled, []
-            await stream.write(entry_frame(sub_queries, cancelled))
+        return entry_frame(messages, cancelled)
 
     def _take(self, frame: frames_pb2.AggregatorFrame) -> None:
         for message in frame.outcomes:
@@ -122,27 +168,39 @@
             self._statuses.group_statuses(self._aggregator, statuses)
 
     def _take_outcome(self, message: frames_pb2.GroupOutcome) -> None:
-        waiting = self._listeners.get(message.call)
+        waiting = self._listeners.pop(message.call, None)
         if waiting is None:
             return
         listener, groups_left = waiting
-        if groups_left == 1:
-            del self._listeners[message.call]
-        else:
-            self._listeners[message.call] = (listener, groups_left - 1)
         try:
-            listener.outcome(decode_outcome(message))
+            outcome = decode_outcome(message)
         except msgspec.DecodeError as error:
             logger.warning("broken outcome from {}: {}", self._aggregator, error)
             listener.link_lost(self._aggregator, sent=True)
+            return
+        if groups_left > 1:
+            self._listeners[message.call] = (listener, groups_left - 1)
+        listener.outcome(outcome)
+
+    def _connect_late(self) -> None:
+        if not self._connected.is_set():
+            self._lose_all()
+
+    def _lose_unsent(self) -> None:
+        """Hand back what was not written yet, and wake the writer up."""
+        unsent, self._outgoing = self._outgoing, {}
+        lost = [self._listeners.pop(call)[0] for call in unsent]
+        self._ready.set()
+        for listener in lost:
+            listener.link_lost(self._aggregator, sent=False)
 
     def _lose_all(self) -> None:
-        unsent = {sub_query.call for sub_query in self._outgoing}
-        self._outgoing.clear()
+        self._down = True
+        self._lose_unsent()
         self._cancelled.clear()
         listeners, self._listeners = self._listeners, {}
-        for call, (listener, _groups_left) in listeners.items():
-            listener.link_lost(self._aggregator, sent=call not in unsent)
+        for listener, _groups_left in listeners.values():
+            listener.link_lost(self._aggregator, sent=True)
 
 
 class StreamLinks:
@@ -163,6 +221,19 @@
             self._links[aggregator] = link
         return link
 
+    async def drop(self, aggregator: str) -> None:
+        """Close the stream to a lost aggregator; what is outstanding there counts as lost."""
+        link = self._links.pop(aggregator, None)
+        if link is not None:
+            await link.close()
+
+    async def close_departed(self, members: set[str]) -> None:
+        """Close the idle streams to aggregators that are no members any more."""
+        departed = [name for name, link in self._links.items() if name not in members]
+        for name in departed:
+            if self._links[name].is_idle:
+                await self.drop(name)
+
     async def close(self) -> None:
         """Close every stream."""
         await asyncio.gather(*(link.close() for link in self._links.values()))
--- a/fighinge/wire/codec.py
+++ b/fighinge/wire/codec.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fighinge.errors import ErrorKind
 from fighinge.messages import GroupOutcome, GroupShards, GroupStatus, Search, SubQuery
 from fighinge.wire import frames_pb2
 
@@ -15,13 +16,24 @@
 EXCHANGE_SERVICE = "fighinge.wire.Aggregation"
 EXCHANGE_METHOD = "Exchange"
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_OUTCOME_BYTES = 12 * 1024 * 1024
+FULL_FRAME_BYTES = 512 * 1024
+KEEPALIVE_INTERVAL_MS = 10_000
+KEEPALIVE_TIMEOUT_MS = 3_000
 CHANNEL_OPTIONS = (
     ("grpc.enable_retries", 0),
     ("grpc.service_config_disable_resolution", 1),
     ("grpc.enable_http_proxy", 0),
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.min_reconnect_backoff_ms", 1000),
     ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_INTERVAL_MS // 2),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.max_ping_strikes", 0),
     ("grpc.max_send_message_length", MAX_FRAME_BYTES),
     ("grpc.max_receive_message_length", MAX_FRAME_BYTES),
 )
@@ -32,28 +44,41 @@
 
 
 def entry_frame(
-    sub_queries: Iterable[SubQuery], cancelled_calls: Iterable[int]
+    sub_queries: Iterable[frames_pb2.SubQuery], cancelled_calls: Iterable[int]
 ) -> frames_pb2.EntryFrame:
     """Return a frame with sub-queries and cancellations that meet."""
-    return frames_pb2.EntryFrame(
-        sub_queries=[_encode_sub_query(sub_query) for sub_query in sub_queries],
-        cancelled_calls=cancelled_calls,
-    )
+    return frames_pb2.EntryFrame(sub_queries=sub_queries, cancelled_calls=cancelled_calls)
 
 
 def aggregator_frame(
-    outcomes: Iterable[tuple[int, GroupOutcome]], statuses: list[GroupStatus]
+    outcomes: Iterable[frames_pb2.GroupOutcome],
+    statuses: list[GroupStatus],
+    *,
+    closing: bool = False,
 ) -> frames_pb2.AggregatorFrame:
-    """Return a frame with outcomes, each behind the call that it answers."""
+    """Return a frame with outcomes and the group statuses that have changed.
+
+    :param closing: whether the entry is to send nothing more
+    """
     return frames_pb2.AggregatorFrame(
-        outcomes=[
-            frames_pb2.GroupOutcome(call=call, outcome_json=msgspec.json.encode(outcome))
-            for call, outcome in outcomes
-        ],
+        outcomes=outcomes,
         group_statuses_json=msgspec.json.encode(statuses) if statuses else b"",
+        closing=closing,
     )
 
 
+def encode_outcome(call: int, outcome: GroupOutcome) -> frames_pb2.GroupOutcome:
+    """Return an outcome as a frame carries it, behind the call that it answers.
+
+    One that no frame can carry is replaced by the error that says so.
+    """
+    raw = msgspec.json.encode(outcome)
+    if len(raw) > MAX_OUTCOME_BYTES:
+        reason = f"the group's answer has more than {MAX_OUTCOME_BYTES} bytes"
+        raw = msgspec.json.encode(outcome.without_parts(ErrorKind.TOO_LARGE, reason))
+    return frames_pb2.GroupOutcome(call=call, outcome_json=raw)
+
+
 def decode_outcome(message: frames_pb2.GroupOutcome) -> GroupOutcome:
     """Return the outcome that a frame carries.
 
@@ -95,7 +120,8 @@
     )
 
 
-def _encode_sub_query(sub_query: SubQuery) -> frames_pb2.SubQuery:
+def encode_sub_query(sub_query: SubQuery) -> frames_pb2.SubQuery:
+    """Return a sub-query as a frame carries it."""
     return frames_pb2.SubQuery(
         call=sub_query.call,
         request_id=sub_query.request_id,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fighinge.messages import GroupShards, Search, SubQuery
 from fighinge.model import Document, decode_document
 from standins.records import shard_map
 
@@ -39,3 +40,23 @@
 def document(**changes) -> Document:
     """Return a decoded document; see :func:`raw_document` for the changes."""
     return decode_document(msgspec.json.encode(raw_document(**changes)))
+
+
+def sub_query(**changes) -> SubQuery:
+    """Return a sub-query for one shard of one group, with changes."""
+    fields = {
+        "call": 1,
+        "request_id": "r1",
+        "service": "desk",
+        "collection": "c",
+        "index_version": 1,
+        "query_class": "desk",
+        "tenant": "vaquero",
+        "groups": (GroupShards("g0", ("s0",)),),
+        "search": Search(),
+        "remaining_s": 1.0,
+        "repeatable": True,
+        "fingerprint": "f",
+        "configuration_version": 1,
+    }
+    return SubQuery(**{**fields, **changes})
