--- a/fighinge/entry/stream_link.py
+++ b/fighinge/entry/stream_link.py
@@ -31,6 +31,7 @@
 
 RECONNECT_PAUSE_S = 0.2
 CONNECT_WAIT_S = 0.25
+FOLLOW_INTERVAL_S = 2.0
 MAX_UNSENT_SUB_QUERIES = 1000
 
 
@@ -234,6 +235,12 @@
             if self._links[name].is_idle:
                 await self.drop(name)
 
+    async def follow(self, members: Callable[[], set[str]]) -> None:
+        """Close streams to departed aggregators for as long as the task runs."""
+        while True:
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
+            await self.close_departed(members())
+
     async def close(self) -> None:
         """Close every stream."""
         await asyncio.gather(*(link.close() for link in self._links.values()))
