--- a/fighinge/logs.py
+++ b/fighinge/logs.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import contextvars
+import logging
 import sys
 
 import logbook
 import msgspec
 from logbook.compat import redirect_logging
 
+LIBRARY_LEVEL = logging.WARNING
 TEXT_FORMAT = (
     "{record.time:%H:%M:%S.%f} {record.level_name} {record.channel}: "
     "{record.message}{record.extra[request]}"
@@ -40,7 +42,10 @@
 
 
 def set_up_logs(log_format: str, level: str) -> None:
-    """Send the logs of the process, and those of its libraries, to standard error."""
+    """Send the logs of the process, and those of its libraries, to standard error.
+
+    Debug records of the libraries are not made at all: curl alone makes some 20 for each call.
+    """
     if log_format == "json":
         handler = JsonHandler(sys.stderr, level=level)
     else:
@@ -48,6 +53,7 @@
     handler.push_application()
     logbook.Processor(add_request_id).push_application()
     redirect_logging()
+    logging.getLogger().setLevel(LIBRARY_LEVEL)
 
 
 def add_request_id(record: logbook.LogRecord) -> None:
