Announce index versions per shard, and again before they go stale

Cause: a status named the versions of a whole group, so a version that one replica held counted for shards that this replica lacks; and it was announced only when it changed, so an entry could not tell an unchanged status from one of a lost owner.

--- a/fighinge/aggregator/replica_group.py
+++ b/fighinge/aggregator/replica_group.py
@@ -9,7 +9,9 @@
 
 from fighinge.aggregator.backend_server import BackendServer
 from fighinge.aggregator.base import CallFailure, CallFault
+from fighinge.aggregator.group_status import group_status
 from fighinge.errors import ErrorKind, Failure
+from fighinge.groups import Group
 from fighinge.messages import (
     Attempt,
     BackendAnswer,
@@ -26,7 +28,6 @@
     from collections.abc import Callable
 
     from fighinge.aggregator.base import BackendClient
-    from fighinge.groups import Group
     from fighinge.model import Document
 
 logger = logbook.Logger(__name__)
@@ -71,12 +72,10 @@
         return cls(group.name, servers, document, client, clock)
 
     def status(self) -> GroupStatus:
-        """Return which index versions some replica of the group holds."""
-        versions: dict[str, set[int]] = {}
-        for server in self.servers.values():
-            for collection, held in server.index_versions.items():
-                versions.setdefault(collection, set()).update(held)
-        return GroupStatus(self.name, {name: sorted(held) for name, held in versions.items()})
+        """Return which index versions the replicas of the group hold."""
+        group = Group(self.name, tuple(self.servers))
+        held = {name: server.index_versions for name, server in self.servers.items()}
+        return group_status(group, self._document, held)
 
     async def run(
         self, sub_query: SubQuery, shards: tuple[str, ...], deadline_s: float
--- a/fighinge/aggregator/stream_server.py
+++ b/fighinge/aggregator/stream_server.py
@@ -27,6 +27,7 @@
 logger = logbook.Logger(__name__)
 
 STATUS_INTERVAL_S = 0.5
+STATUS_REPEAT_S = 3.0
 
 
 class EntryStream:
@@ -57,12 +58,18 @@
                 self._service.submit(sub_query, self.reply)
 
     async def announce(self) -> None:
-        """Queue the state of the groups whenever it has changed."""
+        """Queue the state of the groups when it has changed, and before entries take it for stale.
+
+        Entries forget a status after ``fighinge.entry.snapshots.STATUS_LIFETIME_S``.
+        """
+        clock = asyncio.get_running_loop().time
         announced: list[GroupStatus] = []
+        announced_s = clock()
         while True:
             statuses = self._service.statuses()
-            if statuses != announced:
+            if statuses != announced or clock() - announced_s >= STATUS_REPEAT_S:
                 self._statuses = announced = statuses
+                announced_s = clock()
                 self._ready.set()
             await asyncio.sleep(STATUS_INTERVAL_S)
 
--- a/fighinge/messages.py
+++ b/fighinge/messages.py
@@ -170,11 +170,14 @@
 class GroupStatus(msgspec.Struct):
     """What a replica group's owner believes of it.
 
-    ``index_versions`` maps a collection to the versions that each shard has a replica for.
+    ``index_versions`` maps a collection to the versions that some replica serves;
+    ``unserved_shards`` names, per collection and such a version, the shards without a
+    replica that serves it.
     """
 
     group: str
     index_versions: dict[str, list[int]]
+    unserved_shards: dict[str, dict[int, list[str]]] = {}
 
 
 def failed_group(
