--- a/fighinge/cmd/entry.py
+++ b/fighinge/cmd/entry.py
@@ -38,9 +38,9 @@
 async def serve(settings: Settings) -> None:
     """Serve callers until the process is told to stop."""
     node = Node(settings, "entry")
-    snapshots = SnapshotChooser()
-    links = StreamLinks(node.fleet.aggregator_address, snapshots)
     clock = asyncio.get_running_loop().time
+    snapshots = SnapshotChooser(clock)
+    links = StreamLinks(node.fleet.aggregator_address, snapshots)
     service = QueryService(settings.address, node.fleet, links, snapshots, clock)
     node.store.listen(lambda accepted: service.configure(accepted.version, accepted.document))
 
--- /dev/null
+++ b/fighinge/entry/coverage.py
@@ -0,0 +1,90 @@
+"""What an answer includes, and when less than everything is answered."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fighinge.queries import Coverage
+
+if TYPE_CHECKING:
+    from fighinge.messages import ShardMissing
+    from fighinge.model import Service
+
+MISSING_SHOWN_IN_SUMMARY = 3
+LATENCY_FIRST_LEAST_CHANCE = 0.5
+LATENCY_FIRST_PATIENCE_SHARE = 0.25
+COVERAGE_FIRST_LEAST_CHANCE = 0.05
+RECHECK_SHARE = 0.1
+
+
+class EarlyAnswerRule(msgspec.Struct, frozen=True):
+    """When a service answers before its deadline without all shards.
+
+    From the soft deadline on it waits only while some missing group has at least
+    ``least_chance`` to answer within the horizon: a short further time where latency comes
+    first, the time up to the deadline where coverage does.
+    """
+
+    soft_deadline_s: float
+    deadline_s: float
+    patience_s: float | None
+    least_chance: float
+    minimum_coverage: float
+    recheck_s: float
+
+    @classmethod
+    def from_service(
+        cls, service: Service, started_s: float, deadline_s: float
+    ) -> EarlyAnswerRule | None:
+        """Return the rule for a query that started and must end at given clock times."""
+        if service.soft_deadline_s is None:
+            return None
+        latency_first = service.rule == "latency_first"
+        return cls(
+            soft_deadline_s=started_s + service.soft_deadline_s,
+            deadline_s=deadline_s,
+            patience_s=(
+                LATENCY_FIRST_PATIENCE_SHARE * service.soft_deadline_s if latency_first else None
+            ),
+            least_chance=(
+                LATENCY_FIRST_LEAST_CHANCE if latency_first else COVERAGE_FIRST_LEAST_CHANCE
+            ),
+            minimum_coverage=service.minimum_coverage,
+            recheck_s=RECHECK_SHARE * service.soft_deadline_s,
+        )
+
+    def horizon_s(self, now_s: float) -> float:
+        """Return the further time in which a missing group is given a chance."""
+        left_s = max(0.0, self.deadline_s - now_s)
+        return left_s if self.patience_s is None else min(left_s, self.patience_s)
+
+    def allows(self, share: float, best_chance: float, now_s: float) -> bool:
+        """Return whether to answer now.
+
+        :param share: share of the shards that are included so far
+        :param best_chance: the highest chance of a missing group within the horizon
+        """
+        if now_s < self.soft_deadline_s or share <= 0 or share < self.minimum_coverage:
+            return False
+        return best_chance < self.least_chance
+
+
+def coverage_of(count: int, included: list[str], missing: list[ShardMissing]) -> Coverage:
+    """Return the coverage of an answer from a snapshot of ``count`` shards."""
+    return Coverage(
+        share=len(included) / count,
+        included=included,
+        missing=missing,
+        summary=_summary(len(included), count, missing),
+    )
+
+
+def _summary(included: int, count: int, missing: list[ShardMissing]) -> str:
+    if not missing:
+        return f"all {count} shards"
+    shown = ", ".join(f"{gap.shard} ({gap.reason})" for gap in missing[:MISSING_SHOWN_IN_SUMMARY])
+    more = len(missing) - MISSING_SHOWN_IN_SUMMARY
+    tail = f" and {more} more" if more > 0 else ""
+    return f"{included} of {count} shards; not included: {shown}{tail}"
--- a/fighinge/entry/merge.py
+++ b/fighinge/entry/merge.py
@@ -7,22 +7,43 @@
 
 import msgspec
 
+from fighinge.entry.coverage import coverage_of
 from fighinge.errors import ErrorKind
-from fighinge.messages import Record, ShardMissing, ShardPart
-from fighinge.queries import Coverage
+from fighinge.messages import After, Record, ShardMissing, ShardPart
 
 if TYPE_CHECKING:
-    from fighinge.model import Snapshot
+    from collections.abc import Iterable
 
-MISSING_SHOWN_IN_SUMMARY = 3
+    from fighinge.model import ShardEntry, Snapshot
+    from fighinge.queries import Coverage
+
+Position = tuple[bool, float | str, str]
 
 
 class Merged(msgspec.Struct):
-    """The records, totals and facets of the shards that were merged."""
+    """The records, totals and facets of the shards that were merged.
+
+    ``next_after`` is the position behind which the next page starts; there is none behind the
+    last record. ``counts_exact`` is false where a part held records that are not its shard's.
+    """
 
     records: list[Record]
     total: int
     facets: dict[str, dict[str, int]]
+    counts_exact: bool
+    next_after: After | None
+
+
+class _Taken(msgspec.Struct):
+    """A part with its own records only.
+
+    ``vouched_to`` is the last position up to which the part is complete, where records had to
+    be dropped from a full page.
+    """
+
+    part: ShardPart
+    vouched_to: After | None = None
+    dropped: int = 0
 
 
 class PartCollector:
@@ -32,30 +53,49 @@
     shard's key range are dropped, so that a shard that is being moved doubles none.
     """
 
-    __slots__ = ("_missing", "_parts", "_snapshot")
+    __slots__ = ("_descending", "_limit", "_missing", "_parts", "_snapshot")
 
-    def __init__(self, snapshot: Snapshot) -> None:
+    def __init__(self, snapshot: Snapshot, limit: int = 0, *, descending: bool = False) -> None:
         self._snapshot = snapshot
-        self._parts: dict[str, ShardPart] = {}
+        self._limit = limit
+        self._descending = descending
+        self._parts: dict[str, _Taken] = {}
         self._missing: dict[str, ShardMissing] = {}
 
+    @property
+    def share(self) -> float:
+        """Return the share of the shards that are included so far."""
+        return len(self._parts) / len(self._snapshot.shards)
+
     def add_part(self, part: ShardPart) -> bool:
         """Take a part and return whether it was of use."""
-        if part.index_version != self._snapshot.index_version or part.shard in self._parts:
-            return False
         shard = self._snapshot.shards.get(part.shard)
-        if shard is None:
+        if shard is None or part.shard in self._parts:
+            return False
+        if part.index_version != self._snapshot.index_version:
+            reason = f"a backend server answered from index version {part.index_version}"
+            self.add_missing(ShardMissing(part.shard, ErrorKind.SNAPSHOT_GONE, reason))
             return False
-        part.records = [record for record in part.records if shard.covers(record.key)]
-        self._parts[part.shard] = part
+        self._parts[part.shard] = self._cleaned(part, shard)
         self._missing.pop(part.shard, None)
         return True
 
     def add_missing(self, missing: ShardMissing) -> None:
         """Note why a shard is not included, unless it is."""
-        if missing.shard not in self._parts:
+        if missing.shard not in self._parts and missing.shard in self._snapshot.shards:
             self._missing[missing.shard] = missing
 
+    def add_unanswered(self, shards: Iterable[str]) -> None:
+        """Note the shards of an answer that holds neither their parts nor a reason."""
+        for shard in shards:
+            if shard not in self._missing:
+                reason = "the answer holds no part of it"
+                self.add_missing(ShardMissing(shard, ErrorKind.BACKEND_FAULT, reason))
+
+    def missing_of(self, kinds: frozenset[ErrorKind]) -> int:
+        """Return how many shards are missing for one of some reasons."""
+        return sum(missing.kind in kinds for missing in self._missing.values())
+
     def shards_left(self) -> list[str]:
         """Return the shards without a part."""
         return [shard for shard in self._snapshot.shards if shard not in self._parts]
@@ -67,51 +107,71 @@
             or ShardMissing(shard, ErrorKind.DEADLINE_EXCEEDED, "no answer in time")
             for shard in self.shards_left()
         ]
-        included = sorted(self._parts)
-        count = len(self._snapshot.shards)
-        return Coverage(
-            share=len(included) / count,
-            included=included,
-            missing=missing,
-            summary=_summary(len(included), count, missing),
-        )
+        return coverage_of(len(self._snapshot.shards), sorted(self._parts), missing)
 
-    def merge(self, limit: int, *, descending: bool) -> Merged:
+    def merge(self) -> Merged:
         """Merge the parts in order of sort value, then key, each key once."""
         facets: dict[str, dict[str, int]] = {}
         total = 0
-        for part in self._parts.values():
-            total += part.total
-            for facet, counts in part.facets.items():
+        for taken in self._parts.values():
+            total += taken.part.total - taken.dropped
+            for facet, counts in taken.part.facets.items():
                 sums = facets.setdefault(facet, {})
                 for value, count in counts.items():
                     sums[value] = sums.get(value, 0) + count
+        exact = not any(taken.dropped for taken in self._parts.values())
+        records, next_after = self._page()
+        return Merged(records, total, facets, exact, next_after)
+
+    def _page(self) -> tuple[list[Record], After | None]:
+        """Return the records of the page, and where the next one starts."""
         ordered = heapq.merge(
-            *(part.records for part in self._parts.values()), key=_order, reverse=descending
+            *(taken.part.records for taken in self._parts.values()),
+            key=position_of,
+            reverse=self._descending,
         )
-        return Merged(_first_of_each_key(ordered, limit), total, facets)
-
-
-def _order(record: Record):
-    return (record.sort, record.key)
-
-
-def _first_of_each_key(ordered, limit: int) -> list[Record]:
-    seen: set[str] = set()
-    records: list[Record] = []
-    for record in ordered:
-        if len(records) == limit:
-            break
-        if record.key not in seen:
-            seen.add(record.key)
+        end = self._vouched_to()
+        records: list[Record] = []
+        if self._limit == 0:
+            return records, None
+        for record in ordered:
+            if end is not None and self._is_behind(record, end):
+                break
             records.append(record)
-    return records
-
-
-def _summary(included: int, count: int, missing: list[ShardMissing]) -> str:
-    if not missing:
-        return f"all {count} shards"
-    shown = ", ".join(f"{gap.shard} ({gap.reason})" for gap in missing[:MISSING_SHOWN_IN_SUMMARY])
-    more = len(missing) - MISSING_SHOWN_IN_SUMMARY
-    tail = f" and {more} more" if more > 0 else ""
-    return f"{included} of {count} shards; not included: {shown}{tail}"
+            if len(records) == self._limit:
+                return records, After(record.sort, record.key)
+        return records, end
+
+    def _vouched_to(self) -> After | None:
+        """Return the first position behind which some part may lack records."""
+        ends = [taken.vouched_to for taken in self._parts.values() if taken.vouched_to]
+        if not ends:
+            return None
+        return max(ends, key=position_of) if self._descending else min(ends, key=position_of)
+
+    def _is_behind(self, record: Record, end: After) -> bool:
+        if self._descending:
+            return position_of(record) < position_of(end)
+        return position_of(record) > position_of(end)
+
+    def _cleaned(self, part: ShardPart, shard: ShardEntry) -> _Taken:
+        """Drop the records that are not the shard's, and repeated ones."""
+        received = part.records
+        if len({type(record.sort) for record in received}) > 1:
+            received = sorted(received, key=position_of, reverse=self._descending)
+        low, high = shard.from_key, shard.to_key
+        if high:
+            own = {record.key: record for record in received if low <= record.key < high}
+        else:
+            own = {record.key: record for record in received if low <= record.key}
+        dropped = len(received) - len(own)
+        part.records = list(own.values()) if dropped else received
+        if not dropped or not self._limit or len(received) < self._limit:
+            return _Taken(part, dropped=dropped)
+        last = received[-1]
+        return _Taken(part, After(last.sort, last.key), dropped)
+
+
+def position_of(item: Record | After) -> Position:
+    """Return the place of a record in the order of records; numbers come before texts."""
+    return (isinstance(item.sort, str), item.sort, item.key)
--- /dev/null
+++ b/fighinge/entry/query_plan.py
@@ -0,0 +1,89 @@
+"""Plans: which aggregator is asked for which groups of a snapshot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fighinge.groups import GroupMap
+from fighinge.messages import GroupShards
+from fighinge.ownership import owner_order
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from fighinge.model import Document, Snapshot
+    from fighinge.ownership import Candidate
+
+
+class PlannedGroup:
+    """A group's shards and the aggregators that may be asked, the owner first."""
+
+    __slots__ = ("owners", "wanted")
+
+    def __init__(self, wanted: GroupShards, owners: tuple[str, ...]) -> None:
+        self.wanted = wanted
+        self.owners = owners
+
+
+class QueryPlan:
+    """The groups of a snapshot by name, and those that each owner is asked for."""
+
+    __slots__ = ("by_owner", "groups", "snapshot", "unowned")
+
+    def __init__(self, snapshot: Snapshot, groups: dict[str, PlannedGroup]) -> None:
+        self.snapshot = snapshot
+        self.groups = groups
+        self.unowned = [name for name, group in groups.items() if not group.owners]
+        by_owner: dict[str, list[GroupShards]] = {}
+        for group in groups.values():
+            if group.owners:
+                by_owner.setdefault(group.owners[0], []).append(group.wanted)
+        self.by_owner = {owner: tuple(wanted) for owner, wanted in by_owner.items()}
+
+
+class Planner:
+    """Makes plans under one configuration document and keeps them while owners stay the same."""
+
+    __slots__ = ("_candidates", "_document", "_group_map", "_owners", "_plans", "generation")
+
+    def __init__(self, document: Document) -> None:
+        self._document = document
+        self._group_map = GroupMap.from_document(document)
+        self._candidates: list[Candidate] = []
+        self._owners: dict[str, tuple[str, ...]] = {}
+        self._plans: dict[tuple[str, int], QueryPlan] = {}
+        self.generation = 0
+
+    def follow(self, candidates: Sequence[Candidate]) -> None:
+        """Take the aggregators that may own groups from now on."""
+        if self._candidates == candidates:
+            return
+        self._candidates = list(candidates)
+        self._owners.clear()
+        self._plans.clear()
+        self.generation += 1
+
+    def plan(self, collection: str, snapshot: Snapshot) -> QueryPlan:
+        """Return the plan for a snapshot of a collection."""
+        key = (collection, snapshot.index_version)
+        plan = self._plans.get(key)
+        if plan is None:
+            plan = self._plans[key] = self._make(collection, snapshot)
+        return plan
+
+    def _make(self, collection: str, snapshot: Snapshot) -> QueryPlan:
+        shards_by_group = self._group_map.shards_by_group(
+            self._document, collection, snapshot.index_version
+        )
+        groups = {
+            name: PlannedGroup(GroupShards(name, shards), self._owners_of(name))
+            for name, shards in shards_by_group.items()
+        }
+        return QueryPlan(snapshot, groups)
+
+    def _owners_of(self, group: str) -> tuple[str, ...]:
+        owners = self._owners.get(group)
+        if owners is None:
+            order = owner_order(self._group_map.groups[group], self._document, self._candidates)
+            owners = self._owners[group] = tuple(order)
+        return owners
--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -1,4 +1,4 @@
-"""One query on its way: sends sub-queries, re-plans lost ones and collects the parts."""
+"""One query on its way: sends sub-queries, asks other owners and collects the parts."""
 
 from __future__ import annotations
 
@@ -13,22 +13,21 @@
 from fighinge.queries import GroupTrace
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from fighinge.entry.base import AggregatorLinks
+    from fighinge.entry.coverage import EarlyAnswerRule
+    from fighinge.entry.extra_load import ExtraLoadBudget
+    from fighinge.entry.query_plan import PlannedGroup, QueryPlan
+    from fighinge.entry.response_times import ResponseTimes
     from fighinge.messages import GroupOutcome, Search
-    from fighinge.model import Snapshot
 
 REPLACED_KINDS = frozenset({ErrorKind.NOT_OWNER, ErrorKind.STOPPING, ErrorKind.NOT_READY})
-
-
-class Assignment(msgspec.Struct):
-    """A group's shards and the aggregators that may be asked, the owner first."""
-
-    group: str
-    shards: tuple[str, ...]
-    owners: list[str]
-    next_owner: int = 0
+VANISHED_KINDS = frozenset({ErrorKind.SNAPSHOT_GONE, ErrorKind.NO_REPLICA})
+VANISHED_SHARE = 0.1
+SILENCE_SHARE = 0.3
+SILENCE_FACTOR = 4.0
+SILENCE_MIN_S = 0.02
 
 
 class QueryTerms(msgspec.Struct, frozen=True, kw_only=True):
@@ -45,20 +44,47 @@
     configuration_version: int
 
 
+class RunContext:
+    """What the runs of one entry share."""
+
+    __slots__ = ("budget", "clock", "links", "next_call", "times")
+
+    def __init__(
+        self,
+        links: AggregatorLinks,
+        next_call: Callable[[], int],
+        clock: Callable[[], float],
+        times: ResponseTimes,
+        budget: ExtraLoadBudget,
+    ) -> None:
+        self.links = links
+        self.next_call = next_call
+        self.clock = clock
+        self.times = times
+        self.budget = budget
+
+
 class QueryRun:
-    """Collects the parts of one query until all groups answered or time is up."""
+    """Collects the parts of one query until all groups answered or time is up.
+
+    ``sent`` stays false only while it is certain that no backend server was sent the request.
+    ``replaceable`` tells that the query may be planned again, so that a run whose snapshot
+    vanishes ends at once.
+    """
 
     __slots__ = (
-        "_assignments",
         "_calls",
-        "_clock",
+        "_context",
         "_deadline_s",
         "_done",
-        "_links",
-        "_next_call",
+        "_next_owner",
         "_pending",
+        "_plan",
+        "_rule",
+        "_silence_s",
         "_terms",
         "collector",
+        "replaceable",
         "retry_after_s",
         "sent",
         "snapshot",
@@ -68,160 +94,282 @@
     def __init__(
         self,
         terms: QueryTerms,
-        snapshot: Snapshot,
-        assignments: list[Assignment],
-        links: AggregatorLinks,
-        next_call: Callable[[], int],
-        clock: Callable[[], float],
+        plan: QueryPlan,
+        context: RunContext,
         deadline_s: float,
+        rule: EarlyAnswerRule | None = None,
     ) -> None:
-        self.snapshot = snapshot
-        self.collector = PartCollector(snapshot)
+        search = terms.search
+        self.snapshot = plan.snapshot
+        self.collector = PartCollector(plan.snapshot, search.limit, descending=search.descending)
         self.traces: list[GroupTrace] = []
         self.sent = False
         self.retry_after_s = 0.0
+        self.replaceable = False
         self._terms = terms
-        self._assignments = {assignment.group: assignment for assignment in assignments}
-        self._pending = set(self._assignments)
-        self._links = links
-        self._next_call = next_call
-        self._clock = clock
+        self._plan = plan
+        self._context = context
         self._deadline_s = deadline_s
-        self._calls: dict[int, str] = {}
+        self._rule = rule
+        self._silence_s = 0.0
+        self._pending = dict.fromkeys(plan.groups, 0.0)
+        self._next_owner: dict[str, int] = {}
+        self._calls: dict[int, _Call] = {}
         self._done = asyncio.Event()
 
+    @property
+    def vanished(self) -> bool:
+        """Return whether many shards are no longer served at the snapshot."""
+        return self.collector.missing_of(VANISHED_KINDS) >= VANISHED_SHARE * len(
+            self.snapshot.shards
+        )
+
     async def run(self) -> None:
-        """Send everything and wait for all groups or the deadline."""
-        self._send(list(self._assignments.values()), takeover=False)
+        """Send everything and wait for all groups, the early answer or the deadline."""
+        started_s = self._context.clock()
+        left_s = self._deadline_s - started_s
+        self._silence_s = min(
+            SILENCE_SHARE * left_s,
+            max(SILENCE_MIN_S, SILENCE_FACTOR * self._context.times.slow_s()),
+        )
+        self._pending = dict.fromkeys(self._plan.groups, started_s)
         try:
-            async with asyncio.timeout(max(0.0, self._deadline_s - self._clock())):
-                await self._done.wait()
-        except TimeoutError:
-            return
+            self._send_planned()
+            await self._wait(started_s)
         finally:
             self.cancel()
 
     def cancel(self) -> None:
-        """Give up what is still outstanding."""
-        for call, aggregator in self._calls.items():
-            self._links.link(aggregator).cancel(call)
+        """Give up what is still outstanding, which may have been sent."""
+        now_s = self._context.clock()
+        for call in self._calls.values():
+            self.sent = True
+            self._context.links.link(call.aggregator).cancel(call.number)
         self._calls.clear()
+        for group, sent_s in self._pending.items():
+            self._context.times.observe(group, now_s - sent_s)
 
-    def outcome_of(self, aggregator: str, outcome: GroupOutcome, *, takeover: bool) -> None:
-        """Take one group's outcome."""
+    def outcome_of(self, call: _Call, shards: tuple[str, ...], outcome: GroupOutcome) -> None:
+        """Take one group's outcome, asked for some shards."""
+        now_s = self._context.clock()
+        self._context.times.heard_from(call.aggregator, now_s)
+        self.sent = self.sent or outcome.sent
         if outcome.group not in self._pending:
             return
-        self.sent = self.sent or outcome.sent
         self.retry_after_s = max(self.retry_after_s, outcome.retry_after_s)
-        trace = GroupTrace(outcome.group, aggregator, takeover, outcome.attempts)
-        self.traces.append(trace)
-        for part in outcome.parts:
-            self.collector.add_part(part)
-        for missing in outcome.missing:
-            self.collector.add_missing(missing)
-        if self._wants_replacement(outcome):
-            self._send([self._assignments[outcome.group]], takeover=True)
+        self.traces.append(
+            GroupTrace(outcome.group, call.aggregator, call.takeover, outcome.attempts)
+        )
+        if self._wants_replacement(outcome) and self._has_next_owner(outcome.group):
+            self._send([outcome.group], takeover=True)
+            return
+        self._collect(shards, outcome)
+        if not outcome.parts and self._is_asked_elsewhere(outcome.group):
             return
+        self._context.times.observe(outcome.group, now_s - self._pending[outcome.group])
         self._finish(outcome.group)
 
-    def lost(self, aggregator: str, groups: tuple[GroupShards, ...], *, sent: bool) -> None:
+    def lost(self, call: _Call, *, sent: bool) -> None:
         """Ask the next aggregator for the groups that a lost one has not answered for."""
+        self._calls.pop(call.number, None)
         self.sent = self.sent or sent
-        again = [
-            self._assignments[wanted.group] for wanted in groups if wanted.group in self._pending
-        ]
+        again = [group for group in call.left if group in self._pending]
+        if call.replaced or not again:
+            return
         if sent and not self._terms.repeatable:
-            reason = f"the link to aggregator {aggregator} was lost"
-            for assignment in again:
-                self._fail(assignment, ErrorKind.OUTCOME_UNKNOWN, reason)
+            reason = f"the link to aggregator {call.aggregator} was lost"
+            for group in again:
+                self._fail(group, ErrorKind.OUTCOME_UNKNOWN, reason)
             return
         self._send(again, takeover=True)
 
+    def call_ended(self, number: int) -> None:
+        """Forget a call of which nothing more is to come."""
+        self._calls.pop(number, None)
+
+    async def _wait(self, now_s: float) -> None:
+        """Wait until done; look at silent owners and the soft deadline meanwhile."""
+        while not self._done.is_set() and now_s < self._deadline_s:
+            try:
+                async with asyncio.timeout(self._next_check_s(now_s) - now_s):
+                    await self._done.wait()
+            except TimeoutError:
+                pass
+            now_s = self._context.clock()
+            if not self._done.is_set():
+                self._check(now_s)
+
+    def _next_check_s(self, now_s: float) -> float:
+        check_s = self._deadline_s
+        if self._rule is not None:
+            soft_s = max(self._rule.soft_deadline_s, now_s + self._rule.recheck_s)
+            check_s = min(check_s, soft_s)
+        if self._terms.repeatable:
+            waits = [c.sent_s + self._silence_s for c in self._calls.values() if not c.checked]
+            check_s = min([check_s, *waits])
+        return max(check_s, now_s)
+
+    def _check(self, now_s: float) -> None:
+        if self._answers_early(now_s):
+            self._done.set()
+            return
+        if not self._terms.repeatable:
+            return
+        for call in list(self._calls.values()):
+            if not call.checked and now_s >= call.sent_s + self._silence_s:
+                call.checked = True
+                self._replace_silent(call)
+
+    def _answers_early(self, now_s: float) -> bool:
+        rule = self._rule
+        if rule is None or now_s < rule.soft_deadline_s:
+            return False
+        horizon_s = rule.horizon_s(now_s)
+        best_chance = max(
+            self._context.times.chance(group, now_s - sent_s, horizon_s)
+            for group, sent_s in self._pending.items()
+        )
+        return rule.allows(self.collector.share, best_chance, now_s)
+
+    def _replace_silent(self, call: _Call) -> None:
+        """Ask the next owners where an aggregator has answered nothing since it was asked."""
+        if not self._context.times.silent_since(call.aggregator, call.sent_s):
+            return
+        groups = [
+            group for group in call.left if group in self._pending and self._has_next_owner(group)
+        ]
+        if groups and self._context.budget.spend(len(groups)):
+            call.replaced = True
+            self._send(groups, takeover=True)
+
     def _wants_replacement(self, outcome: GroupOutcome) -> bool:
         if outcome.sent or outcome.parts or not outcome.missing:
             return False
         return all(missing.kind in REPLACED_KINDS for missing in outcome.missing)
 
-    def _send(self, assignments: list[Assignment], *, takeover: bool) -> None:
-        by_owner: dict[str, list[Assignment]] = {}
-        for assignment in assignments:
-            if assignment.next_owner >= len(assignment.owners):
-                self._fail(assignment, ErrorKind.OWNER_UNREACHABLE, "no aggregator is left to ask")
+    def _collect(self, shards: tuple[str, ...], outcome: GroupOutcome) -> None:
+        asked = set(shards)
+        for part in outcome.parts:
+            if part.shard in asked:
+                self.collector.add_part(part)
+        for missing in outcome.missing:
+            if missing.shard in asked:
+                self.collector.add_missing(missing)
+        if len(outcome.parts) < len(shards):
+            answered = {part.shard for part in outcome.parts}
+            self.collector.add_unanswered(shard for shard in shards if shard not in answered)
+        if self.replaceable and outcome.missing and self.vanished:
+            self._done.set()
+
+    def _is_asked_elsewhere(self, group: str) -> bool:
+        """Return whether another aggregator may still answer for a group."""
+        return any(group in call.left for call in self._calls.values())
+
+    def _has_next_owner(self, group: str) -> bool:
+        return self._next_owner.get(group, 1) < len(self._plan.groups[group].owners)
+
+    def _send_planned(self) -> None:
+        for group in self._plan.unowned:
+            self._fail(group, ErrorKind.OWNER_UNREACHABLE, "no aggregator takes work")
+        for owner, wanted in self._plan.by_owner.items():
+            self._send_to(owner, wanted, takeover=False)
+
+    def _send(self, groups: Iterable[str], *, takeover: bool) -> None:
+        by_owner: dict[str, list[GroupShards]] = {}
+        for group in groups:
+            planned: PlannedGroup = self._plan.groups[group]
+            position = self._next_owner.get(group, 1)
+            if position >= len(planned.owners):
+                self._fail(group, ErrorKind.OWNER_UNREACHABLE, "no aggregator is left to ask")
                 continue
-            owner = assignment.owners[assignment.next_owner]
-            assignment.next_owner += 1
-            by_owner.setdefault(owner, []).append(assignment)
-        for owner, owned in by_owner.items():
-            self._send_to(owner, owned, takeover=takeover)
-
-    def _send_to(self, owner: str, assignments: list[Assignment], *, takeover: bool) -> None:
-        call = self._next_call()
-        groups = tuple(GroupShards(owned.group, owned.shards) for owned in assignments)
+            self._next_owner[group] = position + 1
+            by_owner.setdefault(planned.owners[position], []).append(planned.wanted)
+        for owner, wanted in by_owner.items():
+            self._send_to(owner, tuple(wanted), takeover=takeover)
+
+    def _send_to(self, owner: str, groups: tuple[GroupShards, ...], *, takeover: bool) -> None:
+        terms = self._terms
+        now_s = self._context.clock()
+        number = self._context.next_call()
         sub_query = SubQuery(
-            call=call,
-            request_id=self._terms.request_id,
-            service=self._terms.service,
-            collection=self._terms.collection,
+            call=number,
+            request_id=terms.request_id,
+            service=terms.service,
+            collection=terms.collection,
             index_version=self.snapshot.index_version,
-            query_class=self._terms.query_class,
-            tenant=self._terms.tenant,
+            query_class=terms.query_class,
+            tenant=terms.tenant,
             groups=groups,
-            search=self._terms.search,
-            remaining_s=max(0.0, self._deadline_s - self._clock()),
-            repeatable=self._terms.repeatable,
-            fingerprint=self._terms.fingerprint,
-            configuration_version=self._terms.configuration_version,
+            search=terms.search,
+            remaining_s=max(0.0, self._deadline_s - now_s),
+            repeatable=terms.repeatable,
+            fingerprint=terms.fingerprint,
+            configuration_version=terms.configuration_version,
             takeover=takeover,
         )
-        self._calls[call] = owner
-        listener = _CallListener(self, call, owner, groups, takeover=takeover)
-        self._links.link(owner).send(sub_query, listener)
-
-    def call_ended(self, call: int) -> None:
-        """Forget a call of which nothing more is to come."""
-        self._calls.pop(call, None)
+        call = _Call(self, number, owner, groups, now_s, takeover=takeover)
+        self._calls[number] = call
+        self._context.links.link(owner).send(sub_query, call)
 
-    def _fail(self, assignment: Assignment, kind: ErrorKind, reason: str) -> None:
-        outcome = failed_group(assignment.group, assignment.shards, kind, reason, sent=False)
-        for missing in outcome.missing:
+    def _fail(self, group: str, kind: ErrorKind, reason: str) -> None:
+        shards = self._plan.groups[group].wanted.shards
+        for missing in failed_group(group, shards, kind, reason, sent=False).missing:
             self.collector.add_missing(missing)
-        self._finish(assignment.group)
+        if not self._is_asked_elsewhere(group):
+            self._finish(group)
 
     def _finish(self, group: str) -> None:
-        self._pending.discard(group)
+        self._pending.pop(group, None)
         if not self._pending:
             self._done.set()
 
 
-class _CallListener:
-    """Hears what became of one sub-query of a run."""
+class _Call:
+    """One sub-query of a run; hears each of its groups once, whatever arrives.
+
+    ``left`` holds the groups without an outcome; ``checked`` tells that the owner was found
+    silent or not, ``replaced`` that another one was asked meanwhile.
+    """
 
-    __slots__ = ("_aggregator", "_call", "_groups", "_left", "_run", "_takeover")
+    __slots__ = (
+        "_run",
+        "aggregator",
+        "checked",
+        "left",
+        "number",
+        "replaced",
+        "sent_s",
+        "takeover",
+    )
 
     def __init__(
         self,
         run: QueryRun,
-        call: int,
+        number: int,
         aggregator: str,
         groups: tuple[GroupShards, ...],
+        sent_s: float,
         *,
         takeover: bool,
     ) -> None:
         self._run = run
-        self._call = call
-        self._aggregator = aggregator
-        self._groups = groups
-        self._left = len(groups)
-        self._takeover = takeover
+        self.number = number
+        self.aggregator = aggregator
+        self.left = {wanted.group: wanted.shards for wanted in groups}
+        self.sent_s = sent_s
+        self.takeover = takeover
+        self.checked = False
+        self.replaced = False
 
     def outcome(self, outcome: GroupOutcome) -> None:
-        """Hand an outcome on."""
-        self._left -= 1
-        if self._left == 0:
-            self._run.call_ended(self._call)
-        self._run.outcome_of(self._aggregator, outcome, takeover=self._takeover)
+        """Hand an outcome on, unless it is repeated or of a group that was not asked for."""
+        shards = self.left.pop(outcome.group, None)
+        if shards is None:
+            return
+        if not self.left:
+            self._run.call_ended(self.number)
+        self._run.outcome_of(self, shards, outcome)
 
-    def link_lost(self, aggregator: str, *, sent: bool) -> None:
+    def link_lost(self, _aggregator: str, *, sent: bool) -> None:
         """Hand a loss on."""
-        self._run.call_ended(self._call)
-        self._run.lost(aggregator, self._groups, sent=sent)
+        self._run.lost(self, sent=sent)
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -1,9 +1,9 @@
-"""The entry's part of a query: admits it, plans it on one snapshot and answers."""
+"""The entry's part of a query: plans it on one snapshot, runs it and answers."""
 
 from __future__ import annotations
 
-import base64
 import itertools
+import random
 import uuid
 from typing import TYPE_CHECKING, Protocol
 
@@ -11,30 +11,31 @@
 import msgspec
 import xxhash
 
-from fighinge.entry.query_run import Assignment, QueryRun, QueryTerms
-from fighinge.entry.snapshots import SnapshotChooser
+from fighinge.entry.coverage import EarlyAnswerRule
+from fighinge.entry.cursors import Cursor, decode_cursor, encode_cursor, search_name
+from fighinge.entry.extra_load import ExtraLoadBudget
+from fighinge.entry.query_plan import Planner
+from fighinge.entry.query_run import QueryRun, QueryTerms, RunContext
+from fighinge.entry.refusals import query_error, run_error
+from fighinge.entry.response_times import ResponseTimes
 from fighinge.errors import ErrorKind, Failure
-from fighinge.groups import GroupMap
-from fighinge.messages import After, Search
-from fighinge.ownership import Candidate, owner_order
+from fighinge.messages import Search
 from fighinge.queries import QueryAnswer, QueryError, QueryRequest, SnapshotName, Trace
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fighinge.entry.base import AggregatorLinks
+    from fighinge.entry.snapshots import SnapshotChooser
     from fighinge.model import Document, Service, Snapshot
+    from fighinge.ownership import Candidate
 
 logger = logbook.Logger(__name__)
 
 ANSWER_SLACK_S = 0.002
-
-
-class Cursor(msgspec.Struct, frozen=True, array_like=True):
-    """Where the next page starts, pinned to the snapshot of the first one."""
-
-    index_version: int
-    after: After
+REPLAN_LEAST_LEFT_SHARE = 0.25
+INCARNATION_BITS = 31
+CALLS_BITS = 32
 
 
 class FleetView(Protocol):
@@ -44,17 +45,70 @@
         """Return the aggregators that take new work."""
 
 
+class Query:
+    """One request under the configuration that it arrived under."""
+
+    __slots__ = (
+        "cursor",
+        "deadline_s",
+        "request",
+        "request_id",
+        "service",
+        "service_name",
+        "started_s",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        service_name: str,
+        service: Service,
+        request: QueryRequest,
+        started_s: float,
+    ) -> None:
+        self.request_id = request_id
+        self.service_name = service_name
+        self.service = service
+        self.request = request
+        self.started_s = started_s
+        duration_s = request.deadline_ms / 1000 if request.deadline_ms else service.deadline_s
+        self.deadline_s = started_s + duration_s - ANSWER_SLACK_S
+        self.cursor: Cursor | None = None
+
+    def has_time_again(self, now_s: float) -> bool:
+        """Return whether enough time is left to plan the query again."""
+        left_s = self.deadline_s - now_s
+        return left_s >= REPLAN_LEAST_LEFT_SHARE * (self.deadline_s - self.started_s)
+
+    def search(self) -> Search:
+        """Return what every shard is asked."""
+        request = self.request
+        return Search(
+            filter=request.filter,
+            sort=request.sort,
+            descending=request.descending,
+            limit=request.limit,
+            after=self.cursor.after if self.cursor else None,
+            facets=request.facets,
+        )
+
+
 class QueryService:
-    """Answers queries under the configuration in force."""
+    """Answers queries under the configuration in force.
+
+    A caller that hangs up cancels the task of its query, which gives up what is outstanding.
+    """
 
     __slots__ = (
+        "_budgets",
         "_calls",
         "_clock",
         "_document",
         "_fleet",
-        "_group_map",
         "_links",
         "_name",
+        "_planner",
+        "_times",
         "_version",
         "snapshots",
     )
@@ -71,17 +125,19 @@
         self._fleet = fleet
         self._links = links
         self._clock = clock
-        self._calls = itertools.count(1)
+        self._calls = itertools.count(random.getrandbits(INCARNATION_BITS) << CALLS_BITS)
         self._document: Document | None = None
-        self._group_map: GroupMap | None = None
+        self._planner: Planner | None = None
         self._version = 0
+        self._times = ResponseTimes()
+        self._budgets: dict[str, ExtraLoadBudget] = {}
         self.snapshots = snapshots
 
     def configure(self, version: int, document: Document) -> None:
         """Put a configuration version in force."""
         self._version = version
         self._document = document
-        self._group_map = GroupMap.from_document(document)
+        self._planner = Planner(document)
 
     @property
     def ready(self) -> bool:
@@ -91,158 +147,141 @@
     async def query(self, service_name: str, request: QueryRequest) -> QueryAnswer | QueryError:
         """Answer one request, whole or with an error of the closed list."""
         request_id = request.request_id or uuid.uuid4().hex
-        result = await self._answer(service_name, request, request_id)
-        if isinstance(result, Failure):
-            return query_error(request_id, result)
-        return result
-
-    async def _answer(
-        self, service_name: str, request: QueryRequest, request_id: str
-    ) -> QueryAnswer | QueryError | Failure:
-        started_s = self._clock()
-        document, group_map = self._document, self._group_map
-        if document is None or group_map is None:
+        query = self._admit(service_name, request, request_id)
+        if isinstance(query, Failure):
+            return query_error(request_id, query)
+        snapshot = self._snapshot(query)
+        if isinstance(snapshot, Failure):
+            return query_error(request_id, snapshot)
+        run = await self._run(query, snapshot, may_repeat=query.cursor is None)
+        again = self._newer_snapshot(query, run)
+        if again is not None:
+            earlier, run = run, await self._run(query, again, may_repeat=False)
+            run.sent = run.sent or earlier.sent
+            run.traces[:0] = earlier.traces
+        return self._finish(query, run)
+
+    def _admit(self, service_name: str, request: QueryRequest, request_id: str) -> Query | Failure:
+        if self._document is None:
             return Failure(ErrorKind.NOT_READY, "no configuration is confirmed yet")
-        service = document.services.get(service_name)
+        service = self._document.services.get(service_name)
         if service is None:
             return Failure(ErrorKind.UNKNOWN_SERVICE, f"no service {service_name!r}", "service")
-        cursor = decode_cursor(request.cursor) if request.cursor else None
-        if isinstance(cursor, Failure):
-            return cursor
-        snapshot = self._snapshot(document, group_map, service, cursor)
-        if isinstance(snapshot, Failure):
-            return snapshot
-        run = self._start_run(
-            request, request_id, service_name, service, snapshot, cursor, started_s
-        )
-        await run.run()
-        return self._finish(request, request_id, service, run, started_s)
-
-    def _snapshot(
-        self, document: Document, group_map: GroupMap, service: Service, cursor: Cursor | None
-    ) -> Snapshot | Failure:
-        if cursor is None:
-            return self.snapshots.choose(document, group_map, service.collection)
-        snapshot = document.collections[service.collection].snapshot(cursor.index_version)
+        query = Query(request_id, service_name, service, request, self._clock())
+        if request.cursor:
+            cursor = decode_cursor(request.cursor, search_name(service_name, request))
+            if isinstance(cursor, Failure):
+                return cursor
+            query.cursor = cursor
+        return query
+
+    def _snapshot(self, query: Query) -> Snapshot | Failure:
+        name = query.service.collection
+        collection = self._document.collections[name]
+        if query.cursor is None:
+            self._planner.follow(self._fleet.aggregators())
+            return self.snapshots.choose(name, collection, self._planner, query.started_s)
+        snapshot = collection.snapshot(query.cursor.index_version)
         if snapshot is None:
-            reason = f"the cursor's index version {cursor.index_version} is gone"
+            reason = f"index version {query.cursor.index_version} is gone; search again without it"
             return Failure(ErrorKind.SNAPSHOT_GONE, reason, "cursor")
         return snapshot
 
-    def _start_run(
-        self,
-        request: QueryRequest,
-        request_id: str,
-        service_name: str,
-        service: Service,
-        snapshot: Snapshot,
-        cursor: Cursor | None,
-        started_s: float,
-    ) -> QueryRun:
-        search = Search(
-            filter=request.filter,
-            sort=request.sort,
-            descending=request.descending,
-            limit=request.limit,
-            after=cursor.after if cursor else None,
-            facets=request.facets,
-        )
-        deadline_s = request.deadline_ms / 1000 if request.deadline_ms else service.deadline_s
+    async def _run(self, query: Query, snapshot: Snapshot, *, may_repeat: bool) -> QueryRun:
+        service, request = query.service, query.request
+        search = query.search()
         terms = QueryTerms(
-            request_id=request_id,
-            service=service_name,
+            request_id=query.request_id,
+            service=query.service_name,
             collection=service.collection,
             query_class=service.query_class,
             tenant=service.tenant,
             search=search,
             repeatable=request.repeatable,
-            fingerprint=fingerprint(service_name, search),
+            fingerprint=fingerprint(query.service_name, search),
             configuration_version=self._version,
         )
-        return QueryRun(
-            terms,
-            snapshot,
-            self._assignments(service.collection, snapshot),
+        self._planner.follow(self._fleet.aggregators())
+        plan = self._planner.plan(service.collection, snapshot)
+        context = RunContext(
             self._links,
-            lambda: next(self._calls),
+            self._calls.__next__,
             self._clock,
-            started_s + deadline_s - ANSWER_SLACK_S,
+            self._times,
+            self._budget(service.query_class, len(plan.groups)),
         )
-
-    def _assignments(self, collection: str, snapshot: Snapshot) -> list[Assignment]:
-        candidates = self._fleet.aggregators()
-        shards_by_group = self._group_map.shards_by_group(
-            self._document, collection, snapshot.index_version
+        rule = EarlyAnswerRule.from_service(service, query.started_s, query.deadline_s)
+        run = QueryRun(terms, plan, context, query.deadline_s, rule)
+        run.replaceable = may_repeat and request.repeatable
+        await run.run()
+        return run
+
+    def _newer_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
+        """Return the snapshot to plan a query on again, if it may be and that promises more."""
+        if query.cursor is not None or not run.vanished:
+            return None
+        if run.sent and not query.request.repeatable:
+            return None
+        now_s = self._clock()
+        name = query.service.collection
+        collection = self._document.collections.get(name)
+        if collection is None or not query.has_time_again(now_s):
+            return None
+        tried = (run.snapshot.index_version,)
+        other = self.snapshots.choose_other(name, collection, self._planner, tried, now_s)
+        if other is None:
+            return None
+        served = self.snapshots.served_share(name, other, self._planner, now_s)
+        if served <= run.collector.share:
+            return None
+        plan = self._planner.plan(name, other)
+        if not self._budget(query.service.query_class, 0).spend(len(plan.groups)):
+            return None
+        logger.info(
+            "request {}: index version {} vanished, planned again on {}",
+            query.request_id,
+            run.snapshot.index_version,
+            other.index_version,
         )
-        return [
-            Assignment(
-                group,
-                shards,
-                owner_order(self._group_map.groups[group], self._document, candidates),
-            )
-            for group, shards in shards_by_group.items()
-        ]
-
-    def _finish(
-        self,
-        request: QueryRequest,
-        request_id: str,
-        service: Service,
-        run: QueryRun,
-        started_s: float,
-    ) -> QueryAnswer | QueryError:
+        return other
+
+    def _budget(self, query_class: str, calls: int) -> ExtraLoadBudget:
+        """Return the budget of a class after it earned its share of some calls."""
+        budget = self._budgets.get(query_class)
+        if budget is None:
+            budget = self._budgets[query_class] = ExtraLoadBudget()
+        configured = self._document.classes.get(query_class)
+        if calls and configured is not None:
+            budget.earn(calls, configured.extra_load_share)
+        return budget
+
+    def _finish(self, query: Query, run: QueryRun) -> QueryAnswer | QueryError:
         coverage = run.collector.coverage()
-        if not coverage.included or coverage.share < service.minimum_coverage:
-            reason = f"answered by {coverage.summary}"
-            error = query_error(request_id, Failure(ErrorKind.COVERAGE_TOO_LOW, reason))
-            error.coverage = coverage
-            return error
-        merged = run.collector.merge(request.limit, descending=request.descending)
+        if not coverage.included or coverage.share < query.service.minimum_coverage:
+            return run_error(
+                query.request_id, coverage, sent=run.sent, retry_after_s=run.retry_after_s
+            )
+        merged = run.collector.merge()
         answer = QueryAnswer(
-            request_id=request_id,
-            snapshot=SnapshotName(service.collection, run.snapshot.index_version),
+            request_id=query.request_id,
+            snapshot=SnapshotName(query.service.collection, run.snapshot.index_version),
             records=merged.records,
             total=merged.total,
             facets=merged.facets,
             coverage=coverage,
+            counts_exact=merged.counts_exact,
         )
-        if len(merged.records) == request.limit and request.limit > 0:
-            last = merged.records[-1]
+        if merged.next_after is not None:
+            search = search_name(query.service_name, query.request)
             answer.cursor = encode_cursor(
-                Cursor(run.snapshot.index_version, After(last.sort, last.key))
+                Cursor(run.snapshot.index_version, merged.next_after, search)
             )
-        if request.trace:
-            took_ms = (self._clock() - started_s) * 1000
+        if query.request.trace:
+            took_ms = (self._clock() - query.started_s) * 1000
             answer.trace = Trace(self._name, self._version, took_ms, run.traces)
         return answer
 
 
-def query_error(request_id: str, failure: Failure) -> QueryError:
-    """Return a failure as a caller sees it."""
-    answer = failure.answer
-    return QueryError(
-        request_id=request_id,
-        kind=failure.kind,
-        reason=failure.reason,
-        field=failure.field,
-        may_resend=answer.may_resend,
-        not_run=answer.not_run,
-    )
-
-
 def fingerprint(service: str, search: Search) -> str:
     """Return what identifies a query that is sent again, whoever sends it."""
     return xxhash.xxh3_128_hexdigest(service.encode() + b"\n" + msgspec.json.encode(search))
-
-
-def encode_cursor(cursor: Cursor) -> str:
-    """Return a cursor as an opaque string."""
-    return base64.urlsafe_b64encode(msgspec.json.encode(cursor)).decode()
-
-
-def decode_cursor(text: str) -> Cursor | Failure:
-    """Return a cursor from its string, or a failure where it is none."""
-    try:
-        return msgspec.json.decode(base64.urlsafe_b64decode(text), type=Cursor)
-    except (ValueError, msgspec.DecodeError):
-        return Failure(ErrorKind.BAD_REQUEST, "is not a cursor of this system", "cursor")
--- a/fighinge/entry/snapshots.py
+++ b/fighinge/entry/snapshots.py
@@ -4,50 +4,159 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
-    from fighinge.groups import GroupMap
+    from collections.abc import Callable, Container, Sequence
+
+    from fighinge.entry.query_plan import PlannedGroup, Planner
     from fighinge.messages import GroupStatus
-    from fighinge.model import Document, Snapshot
+    from fighinge.model import Collection, Snapshot
+
+STATUS_LIFETIME_S = 10.0
+CHOICE_LIFETIME_S = 0.25
+
+
+class _Announced(msgspec.Struct):
+    """A status and when it arrived."""
+
+    status: GroupStatus
+    received_s: float
+
+
+class _Choice(msgspec.Struct):
+    """A snapshot that was chosen, and what the choice rests on."""
+
+    snapshot: Snapshot
+    planner: Planner
+    generation: int
+    revision: int
+    until_s: float
 
 
 class SnapshotChooser:
-    """Keeps what the owners of groups announce and picks snapshots with full coverage."""
+    """Keeps what the owners of groups announce and picks snapshots with full coverage.
+
+    A status counts for a limited time after its arrival; of several aggregators that announce
+    a group, the first in the order of ownership is believed.
+    """
 
-    __slots__ = ("_versions",)
+    __slots__ = ("_announced", "_choices", "_clock", "_revision")
 
-    def __init__(self) -> None:
-        self._versions: dict[str, dict[str, list[int]]] = {}
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._announced: dict[str, dict[str, _Announced]] = {}
+        self._choices: dict[str, _Choice] = {}
+        self._revision = 0
 
-    def group_statuses(self, _aggregator: str, statuses: list[GroupStatus]) -> None:
+    def group_statuses(self, aggregator: str, statuses: list[GroupStatus]) -> None:
         """Take the statuses that an aggregator announced."""
+        now_s = self._clock()
         for status in statuses:
-            self._versions[status.group] = status.index_versions
+            of_group = self._announced.setdefault(status.group, {})
+            known = of_group.get(aggregator)
+            if known is None or known.status != status:
+                self._revision += 1
+            of_group[aggregator] = _Announced(status, now_s)
 
-    def choose(self, document: Document, group_map: GroupMap, collection: str) -> Snapshot:
-        """Return the newest snapshot that every group is thought to serve.
+    def forget_stale(self, now_s: float) -> None:
+        """Forget the statuses that no longer count."""
+        for group, of_group in list(self._announced.items()):
+            fresh = {name: known for name, known in of_group.items() if _is_fresh(known, now_s)}
+            if fresh:
+                self._announced[group] = fresh
+            else:
+                del self._announced[group]
 
-        A group of which nothing is known counts as serving. Without any such snapshot the one
-        that the most groups serve is chosen.
+    def choose(self, name: str, collection: Collection, planner: Planner, now_s: float) -> Snapshot:
+        """Return the snapshot that a new query of a collection is pinned to.
+
+        That is the newest one of which every shard is served; without any such snapshot, the
+        one of which most shards are. Operators may pin a version or set the lowest one.
         """
-        newest_first = sorted(
-            document.collections[collection].snapshots,
-            key=lambda snapshot: snapshot.index_version,
-            reverse=True,
+        known = self._choices.get(name)
+        if (
+            known is not None
+            and known.planner is planner
+            and known.generation == planner.generation
+            and known.revision == self._revision
+            and now_s < known.until_s
+        ):
+            return known.snapshot
+        self.forget_stale(now_s)
+        snapshot = self._best(name, allowed_snapshots(collection), planner, now_s)
+        self._choices[name] = _Choice(
+            snapshot, planner, planner.generation, self._revision, now_s + CHOICE_LIFETIME_S
         )
+        return snapshot
+
+    def choose_other(
+        self,
+        name: str,
+        collection: Collection,
+        planner: Planner,
+        tried: Container[int],
+        now_s: float,
+    ) -> Snapshot | None:
+        """Return the best snapshot apart from those tried, or none where there is no other."""
+        others = [
+            snapshot
+            for snapshot in allowed_snapshots(collection)
+            if snapshot.index_version not in tried
+        ]
+        if not others:
+            return None
+        return self._best(name, others, planner, now_s)
+
+    def served_share(self, name: str, snapshot: Snapshot, planner: Planner, now_s: float) -> float:
+        """Return the share of a snapshot's shards of which a replica is thought to serve it."""
+        plan = planner.plan(name, snapshot)
+        served = sum(
+            self._served_shards(name, snapshot.index_version, group, now_s)
+            for group in plan.groups.values()
+        )
+        return served / len(snapshot.shards)
+
+    def _best(
+        self, name: str, snapshots: Sequence[Snapshot], planner: Planner, now_s: float
+    ) -> Snapshot:
         return max(
-            newest_first,
-            key=lambda snapshot: self._served_share(
-                document, group_map, collection, snapshot.index_version
+            snapshots,
+            key=lambda snapshot: (
+                self.served_share(name, snapshot, planner, now_s),
+                snapshot.index_version,
             ),
         )
 
-    def _served_share(
-        self, document: Document, group_map: GroupMap, collection: str, index_version: int
-    ) -> float:
-        groups = group_map.shards_by_group(document, collection, index_version)
-        served = sum(self._serves(group, collection, index_version) for group in groups)
-        return served / len(groups)
+    def _served_shards(
+        self, collection: str, index_version: int, group: PlannedGroup, now_s: float
+    ) -> int:
+        status = self._status(group, now_s)
+        if status is None or index_version not in status.index_versions.get(collection, ()):
+            return 0
+        unserved = status.unserved_shards.get(collection, {}).get(index_version, ())
+        return sum(shard not in unserved for shard in group.wanted.shards)
+
+    def _status(self, group: PlannedGroup, now_s: float) -> GroupStatus | None:
+        """Return what the first owner with a fresh status announced."""
+        of_group = self._announced.get(group.wanted.group)
+        if not of_group:
+            return None
+        for owner in group.owners:
+            known = of_group.get(owner)
+            if known is not None and _is_fresh(known, now_s):
+                return known.status
+        return None
+
+
+def allowed_snapshots(collection: Collection) -> list[Snapshot]:
+    """Return the snapshots that operators allow new queries to use, at least one."""
+    pinned = collection.pinned_index_version
+    if pinned is not None:
+        return [s for s in collection.snapshots if s.index_version == pinned]
+    lowest = collection.minimum_index_version
+    return [s for s in collection.snapshots if s.index_version >= lowest]
+
 
-    def _serves(self, group: str, collection: str, index_version: int) -> bool:
-        versions = self._versions.get(group)
-        return versions is None or index_version in versions.get(collection, ())
+def _is_fresh(known: _Announced, now_s: float) -> bool:
+    return now_s - known.received_s < STATUS_LIFETIME_S
--- a/fighinge/model.py
+++ b/fighinge/model.py
@@ -72,9 +72,15 @@
 
 
 class Collection(Checked, kw_only=True):
-    """Records that are searched together, as one or more snapshots."""
+    """Records that are searched together, as one or more snapshots.
+
+    The newest fully served snapshot is used, but none below ``minimum_index_version``;
+    ``pinned_index_version`` is used whatever is served.
+    """
 
     snapshots: Annotated[tuple[Snapshot, ...], msgspec.Meta(min_length=1)]
+    minimum_index_version: Positive = 1
+    pinned_index_version: Positive | None = None
 
     def snapshot(self, index_version: int) -> Snapshot | None:
         """Return the snapshot of an index version, or none where it is gone."""
@@ -144,6 +150,9 @@
 
 def _check_collection(document: Document, name: str, collection: Collection) -> Failure | None:
     seen: set[int] = set()
+    failure = _check_versions_in_use(name, collection)
+    if failure is not None:
+        return failure
     for position, snapshot in enumerate(collection.snapshots):
         field = f"collections.{name}.snapshots[{position}]"
         if snapshot.index_version in seen:
@@ -156,6 +165,20 @@
     return None
 
 
+def _check_versions_in_use(name: str, collection: Collection) -> Failure | None:
+    versions = [snapshot.index_version for snapshot in collection.snapshots]
+    pinned = collection.pinned_index_version
+    if pinned is not None and pinned not in versions:
+        reason = f"{pinned} is not one of the snapshots"
+        field = f"collections.{name}.pinned_index_version"
+        return Failure(ErrorKind.BAD_REQUEST, reason, field)
+    if collection.minimum_index_version > max(versions):
+        reason = "is above every snapshot"
+        field = f"collections.{name}.minimum_index_version"
+        return Failure(ErrorKind.BAD_REQUEST, reason, field)
+    return None
+
+
 def _check_replicas(document: Document, snapshot: Snapshot, field: str) -> Failure | None:
     for shard_name, shard in snapshot.shards.items():
         for replica in shard.replicas:
--- a/fighinge/queries.py
+++ b/fighinge/queries.py
@@ -65,7 +65,12 @@
 
 
 class QueryAnswer(msgspec.Struct, kw_only=True):
-    """The whole answer to one request."""
+    """The whole answer to one request.
+
+    ``counts_exact`` is false where an included shard returned records that are not its own, so
+    that its share of ``total`` and ``facets`` may count records of another shard too. An answer
+    with a ``cursor`` may have fewer records than the limit; the next page starts behind them.
+    """
 
     request_id: str
     snapshot: SnapshotName
@@ -73,6 +78,7 @@
     total: int
     facets: dict[str, dict[str, int]]
     coverage: Coverage
+    counts_exact: bool = True
     cursor: str = ""
     trace: Trace | None = None
 
--- /dev/null
+++ b/tests/features/steps/snapshot_steps.py
@@ -0,0 +1,60 @@
+"""Steps about the choice of snapshots."""
+
+from __future__ import annotations
+
+import msgspec
+from behave import given, then, when
+
+from fighinge.entry.query_plan import Planner
+from fighinge.entry.snapshots import SnapshotChooser
+from fighinge.groups import GroupMap
+from fighinge.messages import GroupStatus
+from fighinge.model import decode_document
+from fighinge.ownership import Candidate
+from tests.builders import raw_document
+
+
+@given("a collection in two groups with index versions 1 and 2")
+def collection(context):
+    context.raw = raw_document(servers=2, shards=2, versions=(1, 2))
+    for snapshot in context.raw["collections"]["c"]["snapshots"]:
+        for number, shard in enumerate(snapshot["shards"].values()):
+            shard["replicas"] = [f"b{number}"]
+    context.raw["zones"]["z9"] = {}
+    context.now_s = 100.0
+    context.chooser = SnapshotChooser(lambda: context.now_s)
+    decoded = decode_document(msgspec.json.encode(context.raw))
+    group_map = GroupMap.from_document(decoded)
+    context.groups = {"first": group_map.group_of("b0"), "second": group_map.group_of("b1")}
+
+
+@given("the operators set {field} to {version:d}")
+def operators(context, field, version):
+    context.raw["collections"]["c"][field] = version
+
+
+@given('owner "{owner}" of the {which} group announces versions {versions}')
+def announce(context, owner, which, versions):
+    versions, _found, missing = versions.partition(" without shard ")
+    held = [] if versions == "none" else [int(version) for version in versions.split(",")]
+    status = GroupStatus(context.groups[which], {"c": held})
+    if missing:
+        shard, _at, version = missing.replace('"', "").partition(" at ")
+        status.unserved_shards = {"c": {int(version): [shard]}}
+    context.chooser.group_statuses(owner, [status])
+
+
+@when('the statuses of "a1" are 11 s old and "a2" announces versions 1 of both groups')
+def grow_old(context):
+    context.now_s += 11.0
+    for which in context.groups:
+        announce(context, "a2", which, "1")
+
+
+@then("a new query is pinned to version {version:d}")
+def pinned(context, version):
+    document = decode_document(msgspec.json.encode(context.raw))
+    planner = Planner(document)
+    planner.follow([Candidate("a1", "z1"), Candidate("a2", "z9")])
+    chosen = context.chooser.choose("c", document.collections["c"], planner, context.now_s)
+    assert chosen.index_version == version, chosen.index_version
--- /dev/null
+++ b/tests/run_builders.py
@@ -0,0 +1,134 @@
+"""Builders for tests of single query runs: links that answer as scripted."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from fighinge.entry.extra_load import ExtraLoadBudget
+from fighinge.entry.query_plan import Planner
+from fighinge.entry.query_run import QueryRun, QueryTerms, RunContext
+from fighinge.entry.response_times import ResponseTimes
+from fighinge.errors import ErrorKind
+from fighinge.messages import GroupOutcome, Record, Search, ShardMissing, ShardPart
+from fighinge.ownership import Candidate
+from tests.builders import document
+
+DEADLINE_S = 1.0
+
+
+class ScriptedLinks:
+    """Every link of an entry; ``scripts`` tells what each aggregator does with a sub-query."""
+
+    def __init__(self, scripts):
+        self.scripts = scripts
+        self.asked = []
+        self.cancelled = []
+
+    def link(self, aggregator):
+        return ScriptedLink(self, aggregator)
+
+
+class ScriptedLink:
+    """The link to one aggregator."""
+
+    def __init__(self, links, aggregator):
+        self.links = links
+        self.aggregator = aggregator
+
+    def send(self, sub_query, listener):
+        self.links.asked.append((self.aggregator, sub_query.takeover))
+        script = self.links.scripts.get(self.aggregator, "silent")
+        if script == "silent":
+            return
+        delay_s, action = SCRIPTS[script]
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, action, self.aggregator, sub_query, listener)
+
+    def cancel(self, call):
+        self.links.cancelled.append(self.aggregator)
+
+
+def part(shard, version, number=1):
+    """Return a part with one record of a shard."""
+    return ShardPart(shard, version, [Record(f"{shard[1:]}-{number}", f"{number}")], 1)
+
+
+def _answers(_aggregator, sub_query, listener):
+    for wanted in sub_query.groups:
+        parts = [part(shard, sub_query.index_version) for shard in wanted.shards]
+        listener.outcome(GroupOutcome(group=wanted.group, parts=parts, sent=True))
+
+
+def _repeats(aggregator, sub_query, listener):
+    listener.outcome(GroupOutcome(group="g-unknown", parts=[part("s0001", 1, 9)], sent=True))
+    _answers(aggregator, sub_query, listener)
+    _answers(aggregator, sub_query, listener)
+
+
+def _wrong_version(_aggregator, sub_query, listener):
+    for wanted in sub_query.groups:
+        parts = [part(shard, sub_query.index_version + 1) for shard in wanted.shards]
+        listener.outcome(GroupOutcome(group=wanted.group, parts=parts, sent=True))
+
+
+def _leaves_out(_aggregator, sub_query, listener):
+    for wanted in sub_query.groups:
+        listener.outcome(GroupOutcome(group=wanted.group, sent=True))
+
+
+def _fails(kind, *, sent, retry_after_s=0.0):
+    def action(_aggregator, sub_query, listener):
+        for wanted in sub_query.groups:
+            missing = [ShardMissing(shard, kind, kind.value) for shard in wanted.shards]
+            listener.outcome(
+                GroupOutcome(
+                    group=wanted.group, missing=missing, sent=sent, retry_after_s=retry_after_s
+                )
+            )
+
+    return action
+
+
+def _loses(*, sent):
+    return lambda aggregator, _sub_query, listener: listener.link_lost(aggregator, sent=sent)
+
+
+SCRIPTS = {
+    "answers": (0.01, _answers),
+    "late": (0.5, _answers),
+    "repeats": (0.01, _repeats),
+    "wrong_version": (0.01, _wrong_version),
+    "leaves_out": (0.01, _leaves_out),
+    "overloaded": (0.01, _fails(ErrorKind.OVERLOADED, sent=False, retry_after_s=2.0)),
+    "stopping": (0.01, _fails(ErrorKind.STOPPING, sent=False)),
+    "not_owner": (0.01, _fails(ErrorKind.NOT_OWNER, sent=False)),
+    "gone": (0.01, _fails(ErrorKind.SNAPSHOT_GONE, sent=False)),
+    "shed": (0.01, _fails(ErrorKind.BACKEND_SHED, sent=True)),
+    "lost_unsent": (0.01, _loses(sent=False)),
+    "lost_sent": (0.01, _loses(sent=True)),
+}
+
+
+def new_run(links, *, repeatable=True, rule=None):
+    """Return a run over two shards that ``a1`` owns."""
+    configured = document(servers=1)
+    planner = Planner(configured)
+    planner.follow([Candidate("a1", "z1"), Candidate("a2", "z2")])
+    plan = planner.plan("c", configured.collections["c"].snapshots[0])
+    budget = ExtraLoadBudget()
+    budget.earn(1, 0.05)
+    clock = asyncio.get_running_loop().time
+    terms = QueryTerms(
+        request_id="r",
+        service="desk",
+        collection="c",
+        query_class="desk",
+        tenant="t",
+        search=Search(),
+        repeatable=repeatable,
+        fingerprint="f",
+        configuration_version=1,
+    )
+    context = RunContext(links, itertools.count().__next__, clock, ResponseTimes(), budget)
+    return QueryRun(terms, plan, context, clock() + DEADLINE_S, rule)
--- a/tests/test_query_service.py
+++ b/tests/test_query_service.py
@@ -34,7 +34,7 @@
     aggregator.configure(configured)
     polling = asyncio.create_task(aggregator.poll_states())
     links = DirectLinks({"a1": aggregator})
-    service = QueryService("e1", OneAggregator(), links, SnapshotChooser(), clock)
+    service = QueryService("e1", OneAggregator(), links, SnapshotChooser(clock), clock)
     service.configure(1, configured)
     await asyncio.sleep(1)
     answer = await service.query("desk", QueryRequest(limit=5))
@@ -50,5 +50,7 @@
 
 def test_all_replicas_unreachable():
     answer = virtual_time.run(_query({"b0", "b1", "b2"}))
-    assert answer.kind is ErrorKind.COVERAGE_TOO_LOW
+    assert answer.kind is ErrorKind.NO_REPLICA
+    assert answer.not_run
+    assert answer.retry_after_s > 0
     assert len(answer.coverage.missing) == 2
