--- a/fighinge/cmd/aggregator.py
+++ b/fighinge/cmd/aggregator.py
@@ -9,6 +9,7 @@
 import logbook
 
 from fighinge.aggregator.http_client import HttpBackendClient
+from fighinge.aggregator.policy import Policy
 from fighinge.aggregator.service import AggregatorService
 from fighinge.aggregator.stream_server import StreamServer
 from fighinge.process import Node, run_process, wait_for_stop
@@ -34,7 +35,14 @@
     """Serve entries until the process is told to stop."""
     node = Node(settings, "aggregator")
     client = HttpBackendClient.create()
-    service = AggregatorService(client, asyncio.get_running_loop().time)
+    service = AggregatorService(
+        client,
+        asyncio.get_running_loop().time,
+        name=settings.address,
+        zone=settings.zone,
+        fleet=node.fleet,
+        policy=Policy.named(settings.aggregator_policy),
+    )
     node.store.listen(lambda accepted: service.configure(accepted.document))
     server = StreamServer(service)
     node.start()
@@ -42,6 +50,7 @@
     await server.start(settings.address, settings.aggregator_port)
     logger.info("aggregator listens on {}:{}", settings.address, settings.aggregator_port)
     await wait_for_stop()
+    service.stop()
     await server.stop(STOP_GRACE_S)
     await node.stop()
     client.close()
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -19,7 +19,9 @@
 from fighinge.entry.refusals import query_error, run_error
 from fighinge.entry.response_times import ResponseTimes
 from fighinge.errors import ErrorKind, Failure
+from fighinge.logs import bind_request_id
 from fighinge.messages import Search
+from fighinge.metrics import QueryLabels, observe_traces
 from fighinge.queries import QueryAnswer, QueryError, QueryRequest, SnapshotName, Trace
 
 if TYPE_CHECKING:
@@ -147,6 +149,7 @@
     async def query(self, service_name: str, request: QueryRequest) -> QueryAnswer | QueryError:
         """Answer one request, whole or with an error of the closed list."""
         request_id = request.request_id or uuid.uuid4().hex
+        bind_request_id(request_id)
         query = self._admit(service_name, request, request_id)
         if isinstance(query, Failure):
             return query_error(request_id, query)
@@ -159,6 +162,8 @@
             earlier, run = run, await self._run(query, again, may_repeat=False)
             run.sent = run.sent or earlier.sent
             run.traces[:0] = earlier.traces
+        labels = QueryLabels(query.service.tenant, query.service.query_class)
+        observe_traces(labels, run.traces)
         return self._finish(query, run)
 
     def _admit(self, service_name: str, request: QueryRequest, request_id: str) -> Query | Failure:
@@ -166,7 +171,9 @@
             return Failure(ErrorKind.NOT_READY, "no configuration is confirmed yet")
         service = self._document.services.get(service_name)
         if service is None:
-            return Failure(ErrorKind.UNKNOWN_SERVICE, f"no service {service_name!r}", "service")
+            return Failure(
+                ErrorKind.UNKNOWN_SERVICE, f"no service {service_name[:64]!r}", "service"
+            )
         query = Query(request_id, service_name, service, request, self._clock())
         if request.cursor:
             cursor = decode_cursor(request.cursor, search_name(service_name, request))
--- a/fighinge/entry/snapshots.py
+++ b/fighinge/entry/snapshots.py
@@ -13,7 +13,7 @@
     from fighinge.messages import GroupStatus
     from fighinge.model import Collection, Snapshot
 
-STATUS_LIFETIME_S = 10.0
+STATUS_LIFETIME_S = 150.0
 CHOICE_LIFETIME_S = 0.25
 
 
@@ -138,7 +138,7 @@
         return sum(shard not in unserved for shard in group.wanted.shards)
 
     def _status(self, group: PlannedGroup, now_s: float) -> GroupStatus | None:
-        """Return what the first owner with a fresh status announced."""
+        """Return what the first owner with a fresh status announced, or last anyone did."""
         of_group = self._announced.get(group.wanted.group)
         if not of_group:
             return None
@@ -146,7 +146,8 @@
             known = of_group.get(owner)
             if known is not None and _is_fresh(known, now_s):
                 return known.status
-        return None
+        fresh = [known for known in of_group.values() if _is_fresh(known, now_s)]
+        return max(fresh, key=lambda known: known.received_s).status if fresh else None
 
 
 def allowed_snapshots(collection: Collection) -> list[Snapshot]:
--- /dev/null
+++ b/tests/test_backend_server.py
@@ -0,0 +1,136 @@
+"""Tests of what an owner concludes about a backend server."""
+
+from __future__ import annotations
+
+import pytest
+
+from fighinge.aggregator.backend_server import connection_quota
+from fighinge.aggregator.base import CallFailure, CallFault
+from fighinge.messages import BackendRefusal, ServerState
+from tests.backend_builders import answer, server, warm_server
+
+
+def test_ramp_doubles_after_clean_windows():
+    cold = server()
+    allowances = []
+    for number in range(60):
+        answer(cold, 0.1 * number)
+        allowances.append(cold.allowance())
+    assert sorted(set(allowances)) == [1, 2, 4]
+    assert allowances == sorted(allowances)
+
+
+@pytest.mark.parametrize(
+    "result",
+    [
+        BackendRefusal("p1", "shed"),
+        BackendRefusal("p1", "cold"),
+        CallFailure(CallFault.CONNECTION_LOST, ""),
+        CallFailure(CallFault.NOT_CONNECTED, ""),
+    ],
+)
+def test_distress_in_a_cold_start_leads_back_to_one(result):
+    cold = server()
+    for number in range(20):
+        answer(cold, 0.1 * number)
+    assert cold.allowance() == 2
+    cold.started("f")
+    cold.finished("f", "desk", result, 0.01, 2.0)
+    assert cold.allowance() == 1
+
+
+@pytest.mark.parametrize(
+    ("reports", "is_cold"),
+    [
+        ([ServerState("p1")], False),
+        ([ServerState("p2")], True),
+        ([ServerState("p1", state="cold")], True),
+        ([ServerState("p1", in_flight=0, slots=0)], False),
+        ([ServerState("p1", in_flight=1_000_000, queued=-5, slots=-1)], False),
+    ],
+)
+def test_reports_that_turn_a_warm_server_cold(reports, is_cold):
+    warm = warm_server()
+    for report in reports:
+        warm.reported(report, 101.0)
+    assert warm.cold_start.is_cold is is_cold
+    assert warm.allowance() == (1 if is_cold else 4)
+
+
+def test_stuck_cold_report_is_outlived():
+    stuck = server()
+    for number in range(400):
+        stuck.reported(ServerState("p1", state="cold"), 0.1 * number)
+        answer(stuck, 0.1 * number)
+    assert stuck.allowance() == 4
+
+
+def test_all_calls_slow_at_once_is_a_cold_start():
+    warm = warm_server()
+    for number in range(4):
+        answer(warm, 101.0 + number, took_s=0.05)
+    assert warm.cold_start.is_cold
+
+
+def test_stragglers_are_not_a_cold_start():
+    warm = warm_server()
+    for number in range(100):
+        answer(warm, 101.0 + number, took_s=0.1 if number % 3 else 0.01)
+    assert not warm.cold_start.is_cold
+
+
+def test_slower_class_is_not_a_cold_start():
+    warm = warm_server()
+    for number in range(50):
+        answer(warm, 101.0 + number, took_s=0.1, query_class="batch")
+    assert not warm.cold_start.is_cold
+
+
+def test_back_after_absence_is_cold():
+    warm = warm_server()
+    warm.unreachable(101.0)
+    assert not warm.accepts(101.0)
+    warm.reported(ServerState("p1"), 104.0)
+    assert warm.cold_start.is_cold
+
+
+def test_short_interruption_stays_warm():
+    warm = warm_server()
+    warm.unreachable(101.0)
+    warm.reported(ServerState("p1"), 101.5)
+    assert not warm.cold_start.is_cold
+
+
+def test_limit_falls_at_a_lost_connection_and_recovers_gradually():
+    warm = warm_server()
+    warm.started("f")
+    warm.finished("f", "desk", CallFailure(CallFault.CONNECTION_LOST, ""), 0.01, 101.0)
+    assert warm.allowance() == 2
+    warm.reported(ServerState("p1"), 101.1)
+    answer(warm, 101.2)
+    assert warm.allowance() == 2
+    for number in range(40):
+        answer(warm, 101.2 + 0.05 * number)
+    assert warm.allowance() == 4
+
+
+def test_drain_signs():
+    warm = warm_server()
+    warm.started("f")
+    warm.finished("f", "desk", BackendRefusal("p1", "draining"), 0.01, 101.0)
+    warm.reported(ServerState("p1"), 110.0)
+    assert not warm.takes_work(), "a stuck report does not undo a refusal"
+    warm.reported(ServerState("p2"), 111.0)
+    assert warm.takes_work()
+    warm.reported(ServerState("p2", state="draining"), 112.0)
+    assert not warm.takes_work()
+    warm.reported(ServerState("p2"), 114.0)
+    assert warm.takes_work()
+
+
+@pytest.mark.parametrize(
+    ("slots", "limit"), [(4, 35), (2, 110), (6, 50), (2, 25), (4, 3), (50, 51)]
+)
+def test_two_owners_stay_below_the_connection_limit(slots, limit):
+    assert connection_quota(slots, limit) >= 1
+    assert 2 * connection_quota(slots, limit) < limit
--- /dev/null
+++ b/tests/test_extra_load.py
@@ -0,0 +1,42 @@
+"""Tests of hedge delays, the extra-load budget and ownership."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from fighinge.aggregator.extra_load import ExtraLoadBudget
+from fighinge.aggregator.hedging import HedgeDelay
+
+
+@pytest.mark.parametrize("share", [0.0, 0.01, 0.05, 0.2])
+def test_extra_calls_never_exceed_their_share(share):
+    budget = ExtraLoadBudget(share)
+    for _number in range(2000):
+        budget.first_call()
+        while budget.take():
+            pass
+        assert budget.extra_calls <= share * budget.first_calls + 1e-6
+
+
+def test_saved_calls_are_bounded():
+    budget = ExtraLoadBudget(0.05)
+    for _number in range(100_000):
+        budget.first_call()
+    taken = 0
+    while budget.take():
+        taken += 1
+    assert taken == 50
+
+
+def test_hedge_delay_follows_the_quantile():
+    source = random.Random(1)
+    delay = HedgeDelay(0.05)
+    assert delay.delay_s is None
+    for _number in range(2000):
+        delay.record(source.uniform(0.01, 0.02))
+    assert 0.0190 < delay.delay_s < 0.0215
+    for _number in range(20_000):
+        delay.record(source.uniform(0.1, 0.2))
+    assert 0.190 < delay.delay_s < 0.215
