--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -33,6 +33,7 @@
 FIRST_BACKEND_PORT = 9000
 ENTRY_PORT = 8080
 ROLES = ("aggregator", "entry")
+KEEP_S = 1.0
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 ZONES = ("sa-1", "sa-2")
@@ -148,6 +149,7 @@
             f"[host]\naddress = {host.address}\nzone = {host.zone}\n"
             f"[platform]\nurl = http://{PLATFORM_HOST}:{PLATFORM_PORT}\n"
             f"[ports]\nentry = {ENTRY_PORT}\n"
+            f"[stop]\nkeep_s = {KEEP_S}\n"
             f"[log]\nlevel = WARNING\n{self._settings}",
             encoding="utf-8",
         )
--- /dev/null
+++ b/fighinge/admission.py
@@ -0,0 +1,50 @@
+"""Whether this process starts new work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fighinge.errors import ErrorKind, Failure
+from fighinge.ownership import zone_in_service
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fighinge.configuration.spread import ConfigurationSpread
+    from fighinge.configuration.store import ConfigurationStore
+    from fighinge.pauses import PauseWatch
+
+
+class Admission:
+    """Refuses new work of a process that stops, does not trust its view or is in a zone out."""
+
+    __slots__ = ("_clock", "_pauses", "_spread", "_store", "_zone", "stopping")
+
+    def __init__(
+        self,
+        zone: str,
+        store: ConfigurationStore,
+        spread: ConfigurationSpread,
+        pauses: PauseWatch,
+        clock: Callable[[], float],
+    ) -> None:
+        self._zone = zone
+        self._store = store
+        self._spread = spread
+        self._pauses = pauses
+        self._clock = clock
+        self.stopping = False
+
+    def refusal(self) -> Failure | None:
+        """Return why new work is refused, or none if it is not; what is refused is not run."""
+        now_s = self._clock()
+        self._pauses.observe(now_s)
+        if self.stopping:
+            return Failure(ErrorKind.STOPPING, "the process stops")
+        if self._store.accepted is None:
+            return Failure(ErrorKind.NOT_READY, "no configuration is known yet")
+        if not self._spread.confirmed or not self._pauses.settled(now_s):
+            return Failure(ErrorKind.NOT_READY, "the configuration is not confirmed")
+        if not zone_in_service(self._store.accepted.document, self._zone):
+            return Failure(ErrorKind.ZONE_OUT, f"zone {self._zone} is out of service")
+        return None
--- /dev/null
+++ b/fighinge/aggregator/admitted.py
@@ -0,0 +1,75 @@
+"""Refuses sub-queries that an aggregator must not start, and counts those that run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fighinge.messages import failed_group
+from fighinge.running import RunningWork
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fighinge.admission import Admission
+    from fighinge.aggregator.service import AggregatorService
+    from fighinge.messages import GroupOutcome, GroupStatus, SubQuery
+
+
+class AdmittedSubQueries:
+    """Lets sub-queries pass that may start here; a refused one was sent nowhere."""
+
+    __slots__ = ("_admission", "_groups_left", "_service", "running")
+
+    def __init__(self, service: AggregatorService, admission: Admission) -> None:
+        self._service = service
+        self._admission = admission
+        self._groups_left: dict[tuple[str, int], int] = {}
+        self.running = RunningWork()
+
+    def statuses(self) -> list[GroupStatus]:
+        """Return what is believed of each group taken up."""
+        return self._service.statuses()
+
+    def submit(
+        self, sub_query: SubQuery, reply: Callable[[int, GroupOutcome], None], entry: str = ""
+    ) -> None:
+        """Start a sub-query or refuse all of its groups."""
+        refusal = self._admission.refusal()
+        if refusal is not None:
+            for wanted in sub_query.groups:
+                outcome = failed_group(
+                    wanted.group, wanted.shards, refusal.kind, refusal.reason, sent=False
+                )
+                reply(sub_query.call, outcome)
+            return
+        key = (entry, sub_query.call)
+        self._groups_left[key] = len(sub_query.groups)
+        self.running.started(key)
+
+        def reply_and_count(call: int, outcome: GroupOutcome) -> None:
+            self._count(key)
+            reply(call, outcome)
+
+        self._service.submit(sub_query, reply_and_count, entry)
+
+    def cancel(self, entry: str, call: int) -> None:
+        """Give a sub-query up."""
+        self._forget((entry, call))
+        self._service.cancel(entry, call)
+
+    def cancel_all(self, entry: str) -> None:
+        """Give up every sub-query of an entry whose stream was lost."""
+        for key in [key for key in self._groups_left if key[0] == entry]:
+            self._forget(key)
+        self._service.cancel_all(entry)
+
+    def _count(self, key: tuple[str, int]) -> None:
+        left = self._groups_left.get(key, 0) - 1
+        if left > 0:
+            self._groups_left[key] = left
+        else:
+            self._forget(key)
+
+    def _forget(self, key: tuple[str, int]) -> None:
+        self._groups_left.pop(key, None)
+        self.running.ended(key)
--- a/fighinge/cmd/aggregator.py
+++ b/fighinge/cmd/aggregator.py
@@ -8,17 +8,21 @@
 import defopt
 import logbook
 
+from fighinge.aggregator.admitted import AdmittedSubQueries
 from fighinge.aggregator.http_client import HttpBackendClient
 from fighinge.aggregator.service import AggregatorService
 from fighinge.aggregator.stream_server import StreamServer
-from fighinge.process import Node, run_process, wait_for_stop
+from fighinge.process import Node, run_process
 
 if TYPE_CHECKING:
     from fighinge.settings import Settings
 
 logger = logbook.Logger(__name__)
 
-STOP_GRACE_S = 5.0
+LEAVE_S = 1.0
+FINISH_LIMIT_S = 65.0
+FLUSH_S = 0.5
+STOP_GRACE_S = 0.2
 
 
 def aggregator(settings_file: str, *, check_settings: bool = False) -> None:
@@ -36,12 +40,20 @@
     client = HttpBackendClient.create()
     service = AggregatorService(client, asyncio.get_running_loop().time)
     node.store.listen(lambda accepted: service.configure(accepted.document))
-    server = StreamServer(service)
+    admitted = AdmittedSubQueries(service, node.admission)
+    server = StreamServer(admitted)
     node.start()
     node.spawn(service.poll_states())
     await server.start(settings.address, settings.aggregator_port)
     logger.info("aggregator listens on {}:{}", settings.address, settings.aggregator_port)
-    await wait_for_stop()
+    await node.stop_request.wait()
+    logger.notice("aggregator stops")
+    node.membership.leave()
+    await node.stop_request.pause(min(settings.keep_s, LEAVE_S))
+    node.admission.stopping = True
+    if not await admitted.running.finished(FINISH_LIMIT_S):
+        logger.error("{} sub-queries were cut off", len(admitted.running))
+    await asyncio.sleep(FLUSH_S)
     await server.stop(STOP_GRACE_S)
     await node.stop()
     client.close()
--- a/fighinge/cmd/entry.py
+++ b/fighinge/cmd/entry.py
@@ -8,6 +8,7 @@
 import defopt
 import logbook
 
+from fighinge.entry.admitted import AdmittedQueries, CountedQueries
 from fighinge.entry.at_most_once import AtMostOnceQueries
 from fighinge.entry.http_server import create_server
 from fighinge.entry.peer_entries import HttpPeerEntries
@@ -17,15 +18,17 @@
 from fighinge.entry.tickets import TicketRegistry
 from fighinge.errors import ErrorKind, Failure
 from fighinge.metrics import QueryLabels
-from fighinge.process import Node, run_process, wait_for_stop
+from fighinge.process import Node, run_process
 
 if TYPE_CHECKING:
-    from fighinge.queries import EntriesAnswer
+    from fighinge.queries import EntriesAnswer, EntryAddress
     from fighinge.settings import Settings
 
 logger = logbook.Logger(__name__)
 
 TICKETS_IN_ANSWER = 4
+FINISH_LIMIT_S = 65.0
+FLUSH_S = 0.1
 
 
 def entry(settings_file: str, *, check_settings: bool = False) -> None:
@@ -60,13 +63,23 @@
         accepted = node.store.accepted
         return QueryLabels.from_document(accepted.document if accepted else None, service_name)
 
-    queries = AtMostOnceQueries(service, tickets, peers, clock)
+    def entries_elsewhere() -> list[EntryAddress]:
+        return node.fleet.entries(node.store.accepted.document, "", settings.zone).entries
+
+    admitted = AdmittedQueries(service, node.admission, entries_elsewhere)
+    queries = CountedQueries(AtMostOnceQueries(admitted, tickets, peers, clock))
     server = create_server(queries, entries, labels_of)
     node.start()
     server.listen(settings.entry_port, settings.address)
     logger.info("entry listens on {}:{}", settings.address, settings.entry_port)
-    await wait_for_stop()
+    await node.stop_request.wait()
+    logger.notice("entry stops; callers may use it for {} s", settings.keep_s)
+    node.membership.leave()
+    await node.stop_request.pause(settings.keep_s)
     server.stop()
+    if not await queries.running.finished(FINISH_LIMIT_S):
+        logger.error("{} queries were cut off", len(queries.running))
+    await asyncio.sleep(FLUSH_S)
     await server.close_all_connections()
     peers.close()
     await links.close()
--- /dev/null
+++ b/fighinge/configuration/confirmation.py
@@ -0,0 +1,61 @@
+"""Whether a process may rely on the configuration version that it has."""
+
+from __future__ import annotations
+
+PEER_WAIT_S = 1.0
+NEWER_WAIT_S = 5.0
+
+
+class Confirmation:
+    """Collects what confirms the version in force, and tells once that is enough.
+
+    Enough is a peer that relies on its own version, which must not be newer, or a fresh read
+    of the platform after which no such peer answers for ``PEER_WAIT_S``. A newer version that
+    a peer told of has ``NEWER_WAIT_S`` to arrive. Once confirmed, neither a newer version nor
+    silence of platform and peers changes that.
+    """
+
+    __slots__ = ("_confirmed", "_newest", "_newest_s", "_peer_version", "_platform_read_s")
+
+    def __init__(self) -> None:
+        self._confirmed = False
+        self._newest = 0
+        self._newest_s = 0.0
+        self._peer_version = 0
+        self._platform_read_s: float | None = None
+
+    def peer(self, version: int, now_s: float, *, confirmed: bool) -> None:
+        """Take the version that a peer has in force.
+
+        :param confirmed: whether the peer relies on it itself
+        """
+        if version >= self._newest:
+            self._newest, self._newest_s = version, now_s
+        if confirmed:
+            self._peer_version = max(self._peer_version, version)
+
+    def platform(self, now_s: float) -> None:
+        """Note a read of all that is published."""
+        if self._platform_read_s is None:
+            self._platform_read_s = now_s
+
+    def reset(self) -> None:
+        """Ask for confirmation anew, after this process was paused."""
+        self._confirmed = False
+        self._peer_version = 0
+        self._newest = 0
+        self._platform_read_s = None
+
+    def confirmed(self, version: int, now_s: float) -> bool:
+        """Return whether the version in force may be relied on."""
+        if not self._confirmed:
+            self._confirmed = version > 0 and self._is_enough(version, now_s)
+        return self._confirmed
+
+    def _is_enough(self, version: int, now_s: float) -> bool:
+        if version < self._newest and now_s - self._newest_s < NEWER_WAIT_S:
+            return False
+        if 0 < self._peer_version <= version:
+            return True
+        read_s = self._platform_read_s
+        return read_s is not None and now_s - read_s >= PEER_WAIT_S
--- a/fighinge/configuration/history.py
+++ b/fighinge/configuration/history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING
 
 import jsonpatch
@@ -16,20 +17,39 @@
 
 BASE_KEY = "configuration/base"
 PATCH_PREFIX = "configuration/patches/"
+PART_PREFIX = "configuration/parts/"
+DIGEST_BYTES = 8
+MAX_STEPS = 64
 
 
 class Base(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A whole document under a version number."""
+    """A whole document under a version number, or the keys of its parts.
+
+    Each part is a JSON string with a slice of the document's text; ``sha256`` is the digest
+    of the whole text in hexadecimal.
+    """
 
     version: int
-    document: msgspec.Raw
+    document: msgspec.Raw = msgspec.Raw(b"")
+    parts: tuple[str, ...] = ()
+    sha256: str = ""
 
 
 class Patch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An RFC 6902 patch that makes one version out of the one before."""
 
     applies_to: int
-    operations: msgspec.Raw
+    operations: msgspec.Raw = msgspec.Raw(b"")
+    parts: tuple[str, ...] = ()
+    sha256: str = ""
+
+
+class BaseText(msgspec.Struct, frozen=True):
+    """The text of a base's document, whole."""
+
+    version: int
+    text: bytes
+    digest: bytes
 
 
 class Accepted(msgspec.Struct, frozen=True):
@@ -38,6 +58,14 @@
     version: int
     document: Document
     raw: bytes
+    digest: bytes
+
+
+class Step(msgspec.Struct, frozen=True):
+    """An accepted patch: its operations led to a version."""
+
+    version: int
+    operations: bytes
 
 
 class Refused(msgspec.Struct, frozen=True):
@@ -47,50 +75,128 @@
     failure: Failure
 
 
+class Judged(msgspec.Struct, frozen=True):
+    """A patch that was accepted or refused, by the digest of its content."""
+
+    key: str
+    digest: bytes
+
+
 class Acceptance(msgspec.Struct, frozen=True):
-    """What follows from the published values."""
+    """What follows from the published values.
+
+    ``steps`` are the last accepted patches; ``judged`` are all patches in their order, from
+    which a later call goes on.
+    """
 
+    base_digest: bytes
     accepted: Accepted
-    refused: tuple[Refused, ...]
+    refused: tuple[Refused, ...] = ()
+    steps: tuple[Step, ...] = ()
+    judged: tuple[Judged, ...] = ()
 
 
-def accept(values: Mapping[str, msgspec.Raw]) -> Acceptance | Failure:
+def accept(
+    values: Mapping[str, msgspec.Raw], earlier: Acceptance | None = None
+) -> Acceptance | Failure:
     """Apply the published patches to the published base, in the order of their keys.
 
     A patch on another version than the one reached, or with an invalid result, is refused;
-    later patches are judged on their own.
+    later patches are judged on their own. Patches on versions before the base are passed
+    over. Where parts are missing everything before them counts.
+
+    :param earlier: an earlier result, which saves applying the same patches again
     """
-    base = _decode_base(values)
-    if isinstance(base, Failure):
-        return base
-    accepted, refused = base, []
-    for key in sorted(key for key in values if key.startswith(PATCH_PREFIX)):
-        result = apply_patch(accepted, bytes(values[key]))
-        if isinstance(result, Failure):
-            refused.append(Refused(key, result))
-        else:
-            accepted = result
-    return Acceptance(accepted, tuple(refused))
+    base_text = _decode_base(values)
+    if isinstance(base_text, Failure):
+        return base_text
+    patches = _decode_patches(values)
+    acceptance = _resumed(earlier, base_text, patches) or _started(base_text)
+    if isinstance(acceptance, Failure):
+        return acceptance
+    for key, patch in patches[len(acceptance.judged) :]:
+        if isinstance(patch, Failure) and patch.kind is ErrorKind.NOT_READY:
+            refused = (*acceptance.refused, Refused(key, patch))
+            return msgspec.structs.replace(acceptance, refused=refused)
+        acceptance = _judge(acceptance, base_text.version, key, patch)
+    return acceptance
 
 
 def apply_patch(current: Accepted, raw_patch: bytes) -> Accepted | Failure:
     """Return the version that a patch makes of the current one, or why it is refused."""
+    patch = _decode_patch(raw_patch, {})
+    return patch if isinstance(patch, Failure) else _apply(current, patch)
+
+
+def apply_operations(current: Accepted, raw_operations: bytes) -> Accepted | Failure:
+    """Return the version that JSON patch operations make of the current one."""
     try:
-        patch = msgspec.json.decode(raw_patch, type=Patch)
-        operations = msgspec.json.decode(patch.operations)
+        operations = msgspec.json.decode(raw_operations)
+        patched = jsonpatch.apply_patch(msgspec.json.decode(current.raw), operations)
     except msgspec.DecodeError as error:
-        return Failure(ErrorKind.BAD_REQUEST, f"not a patch: {error}")
+        return Failure(ErrorKind.BAD_REQUEST, f"not a patch: {error}", "operations")
+    except (
+        jsonpatch.JsonPatchException,
+        jsonpointer.JsonPointerException,
+        TypeError,
+        KeyError,
+        AttributeError,
+    ) as error:
+        return Failure(ErrorKind.BAD_REQUEST, f"does not apply: {error}", "operations")
+    return accepted_from(current.version + 1, msgspec.json.encode(patched))
+
+
+def accepted_from(version: int, raw: bytes) -> Accepted | Failure:
+    """Return a checked document under its version, or the failure that names the field."""
+    document = decode_document(raw)
+    if isinstance(document, Failure):
+        return document
+    return Accepted(version, document, raw, _digest(raw))
+
+
+def _judge(acceptance: Acceptance, base_version: int, key: str, patch: Patch | Failure):
+    """Return the acceptance with one patch more accepted, refused or passed over."""
+    judged = (*acceptance.judged, _judged(key, patch))
+    replace = msgspec.structs.replace
+    if isinstance(patch, Patch) and patch.applies_to < base_version:
+        return replace(acceptance, judged=judged)
+    result = patch if isinstance(patch, Failure) else _apply(acceptance.accepted, patch)
+    if isinstance(result, Failure):
+        return replace(
+            acceptance, judged=judged, refused=(*acceptance.refused, Refused(key, result))
+        )
+    steps = (*acceptance.steps, Step(result.version, bytes(patch.operations)))[-MAX_STEPS:]
+    return replace(acceptance, judged=judged, accepted=result, steps=steps)
+
+
+def _resumed(
+    earlier: Acceptance | None, base: BaseText, patches: list[tuple[str, Patch | Failure]]
+) -> Acceptance | None:
+    """Return an earlier result if what it judged is still what is published first."""
+    if earlier is None or earlier.base_digest != base.digest:
+        return None
+    first = tuple(_judged(key, patch) for key, patch in patches[: len(earlier.judged)])
+    if first != earlier.judged:
+        return None
+    refused = tuple(
+        refused for refused in earlier.refused if refused.failure.kind is not ErrorKind.NOT_READY
+    )
+    return msgspec.structs.replace(earlier, refused=refused)
+
+
+def _started(base: BaseText) -> Acceptance | Failure:
+    accepted = accepted_from(base.version, base.text)
+    return accepted if isinstance(accepted, Failure) else Acceptance(base.digest, accepted)
+
+
+def _apply(current: Accepted, patch: Patch) -> Accepted | Failure:
     if patch.applies_to != current.version:
         reason = f"applies to version {patch.applies_to}, but {current.version} is in force"
         return Failure(ErrorKind.BAD_REQUEST, reason, "applies_to")
-    try:
-        patched = jsonpatch.apply_patch(msgspec.json.decode(current.raw), operations)
-    except (jsonpatch.JsonPatchException, jsonpointer.JsonPointerException, TypeError) as error:
-        return Failure(ErrorKind.BAD_REQUEST, f"does not apply: {error}", "operations")
-    return _accepted(current.version + 1, msgspec.json.encode(patched))
+    return apply_operations(current, bytes(patch.operations))
 
 
-def _decode_base(values: Mapping[str, msgspec.Raw]) -> Accepted | Failure:
+def _decode_base(values: Mapping[str, msgspec.Raw]) -> BaseText | Failure:
     raw = values.get(BASE_KEY)
     if raw is None:
         return Failure(ErrorKind.NOT_READY, "no base is published", BASE_KEY)
@@ -98,11 +204,54 @@
         base = msgspec.json.decode(raw, type=Base)
     except msgspec.DecodeError as error:
         return Failure(ErrorKind.BAD_REQUEST, f"not a base: {error}", BASE_KEY)
-    return _accepted(base.version, bytes(base.document))
+    text = _joined(base.parts, base.sha256, values) if base.parts else bytes(base.document)
+    if isinstance(text, Failure):
+        return text
+    return BaseText(base.version, text, _digest(b"%d\n%b" % (base.version, text)))
 
 
-def _accepted(version: int, raw: bytes) -> Accepted | Failure:
-    document = decode_document(raw)
-    if isinstance(document, Failure):
-        return document
-    return Accepted(version, document, raw)
+def _decode_patches(values: Mapping[str, msgspec.Raw]) -> list[tuple[str, Patch | Failure]]:
+    keys = sorted(key for key in values if key.startswith(PATCH_PREFIX))
+    return [(key, _decode_patch(bytes(values[key]), values)) for key in keys]
+
+
+def _judged(key: str, patch: Patch | Failure) -> Judged:
+    if isinstance(patch, Failure):
+        return Judged(key, _digest(patch.reason.encode()))
+    return Judged(key, _digest(b"%d\n%b" % (patch.applies_to, bytes(patch.operations))))
+
+
+def _decode_patch(raw: bytes, values: Mapping[str, msgspec.Raw]) -> Patch | Failure:
+    try:
+        patch = msgspec.json.decode(raw, type=Patch)
+    except msgspec.DecodeError as error:
+        return Failure(ErrorKind.BAD_REQUEST, f"not a patch: {error}")
+    if not patch.parts:
+        return patch
+    text = _joined(patch.parts, patch.sha256, values)
+    if isinstance(text, Failure):
+        return text
+    return Patch(patch.applies_to, msgspec.Raw(text))
+
+
+def _joined(
+    keys: tuple[str, ...], sha256: str, values: Mapping[str, msgspec.Raw]
+) -> bytes | Failure:
+    """Return a text from its parts, only if all of them belong together."""
+    parts: list[str] = []
+    for key in keys:
+        if key not in values:
+            return Failure(ErrorKind.NOT_READY, "part is not published yet", key)
+        try:
+            parts.append(msgspec.json.decode(values[key], type=str))
+        except msgspec.DecodeError as error:
+            return Failure(ErrorKind.BAD_REQUEST, f"not a part: {error}", key)
+    text = "".join(parts).encode()
+    if hashlib.sha256(text).hexdigest() != sha256:
+        reason = "the parts do not have the digest that is published with their keys"
+        return Failure(ErrorKind.NOT_READY, reason, "sha256")
+    return text
+
+
+def _digest(raw: bytes) -> bytes:
+    return hashlib.blake2b(raw, digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/fighinge/configuration/readers.py
@@ -0,0 +1,40 @@
+"""Which processes read the platform how often."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fighinge.membership.member import MemberState
+from fighinge.ownership import rendezvous_weight
+
+if TYPE_CHECKING:
+    from fighinge.membership.table import MemberTable
+
+READERS_PER_ZONE = 3
+READER_KEY = "platform reader"
+SPARE_READS_PER_S = 200.0
+HOST_LIST_READS_PER_S = 100.0
+MIN_INTERVAL_S = 2.0
+
+
+def is_reader(table: MemberTable) -> bool:
+    """Return whether this process watches the platform for its zone."""
+    mine = rendezvous_weight(table.me.name, READER_KEY)
+    ahead = sum(
+        member.zone == table.me.zone
+        and member.state is not MemberState.DEAD
+        and not member.leaving
+        and rendezvous_weight(member.name, READER_KEY) > mine
+        for member in table.reachable()
+    )
+    return ahead < READERS_PER_ZONE
+
+
+def spare_interval_s(members: int, reads_per_s: float) -> float:
+    """Return how long a process that is no reader waits between reads.
+
+    The interval grows with the fleet, so that the spare reads of all together stay the same.
+
+    :param reads_per_s: spare reads of all processes together
+    """
+    return max(MIN_INTERVAL_S, members / reads_per_s)
--- /dev/null
+++ b/fighinge/configuration/spread.py
@@ -0,0 +1,220 @@
+"""Spreads configuration versions from process to process."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import zlib
+from typing import TYPE_CHECKING, Protocol
+
+import logbook
+import msgspec
+
+from fighinge.configuration.confirmation import Confirmation
+from fighinge.configuration.store import ConfigurationStore, Transfer
+from fighinge.errors import Failure
+from fighinge.membership.messages import (
+    MAX_CHUNK_BYTES,
+    ConfigurationChunk,
+    ConfigurationMark,
+    ConfigurationRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fighinge.membership.member import Member
+
+logger = logbook.Logger(__name__)
+
+CHUNKS_PER_REQUEST = 8
+CHUNKS_PER_S = 200.0
+PULL_INTERVAL_S = 0.2
+TRANSFER_DIGEST_BYTES = 8
+MAX_TRANSFER_BYTES = 64 * 1024 * 1024
+
+
+class PeerSender(Protocol):
+    """Sends messages to members."""
+
+    def send(self, member: Member, message: ConfigurationRequest | ConfigurationChunk) -> None:
+        """Send a message to a member."""
+
+
+class Download:
+    """The chunks of one transfer that have arrived."""
+
+    __slots__ = ("_chunks", "_count", "digest")
+
+    def __init__(self, digest: bytes, count: int) -> None:
+        self.digest = digest
+        self._count = count
+        self._chunks: dict[int, bytes] = {}
+
+    def add(self, chunk: ConfigurationChunk) -> None:
+        """Take a chunk of this transfer."""
+        if chunk.chunks == self._count and chunk.chunk < self._count:
+            self._chunks[chunk.chunk] = chunk.content
+
+    @property
+    def first_missing(self) -> int:
+        """Return the lowest chunk that has not arrived, or the count if all have."""
+        number = 0
+        while number in self._chunks:
+            number += 1
+        return number
+
+    @property
+    def complete(self) -> bool:
+        """Return whether every chunk has arrived."""
+        return len(self._chunks) == self._count
+
+    def content(self) -> Transfer | None:
+        """Return the transfer, or none where the chunks do not make up a valid one."""
+        packed = b"".join(self._chunks[number] for number in range(self._count))
+        if _digest(packed) != self.digest:
+            return None
+        try:
+            raw = zlib.decompressobj().decompress(packed, MAX_TRANSFER_BYTES)
+            return msgspec.msgpack.decode(raw, type=Transfer)
+        except (zlib.error, msgspec.DecodeError):
+            return None
+
+
+class ConfigurationSpread:
+    """Tells peers which version is in force, pulls newer ones and serves older peers."""
+
+    __slots__ = (
+        "_budget",
+        "_budget_s",
+        "_clock",
+        "_download",
+        "_packed",
+        "_sender",
+        "_sources",
+        "_store",
+        "confirmation",
+        "on_conflict",
+    )
+
+    def __init__(
+        self, store: ConfigurationStore, sender: PeerSender, clock: Callable[[], float]
+    ) -> None:
+        self.confirmation = Confirmation()
+        self.on_conflict: Callable[[], None] = lambda: None
+        self._store = store
+        self._sender = sender
+        self._clock = clock
+        self._sources: dict[str, tuple[Member, int]] = {}
+        self._download: Download | None = None
+        self._packed: tuple[int, bytes, bytes] | None = None
+        self._budget = CHUNKS_PER_S
+        self._budget_s = clock()
+
+    @property
+    def confirmed(self) -> bool:
+        """Return whether the version in force may be relied on."""
+        return self.confirmation.confirmed(self._store.version, self._clock())
+
+    def mark(self) -> ConfigurationMark:
+        """Return what peers are told of the version in force."""
+        return ConfigurationMark(self._store.version, self._store.digest, self.confirmed)
+
+    def heard(self, member: Member, mark: ConfigurationMark) -> None:
+        """Take what a peer tells of its version and start to pull a newer one."""
+        self.confirmation.peer(mark.version, self._clock(), confirmed=mark.confirmed)
+        if mark.version > self._store.version:
+            is_first = not self._sources
+            self._sources[member.name] = (member, mark.version)
+            if is_first:
+                self._pull(member)
+        elif mark.version == self._store.version and mark.digest != self._store.digest:
+            logger.warning("{} has another document as version {}", member.name, mark.version)
+            self.on_conflict()
+
+    def requested(self, member: Member, request: ConfigurationRequest) -> None:
+        """Serve chunks to a peer, within the budget of this process."""
+        packed = self._pack(request.after_version)
+        if packed is None:
+            return
+        digest = _digest(packed)
+        first = request.first_chunk if request.digest == digest else 0
+        count = max(1, -(-len(packed) // MAX_CHUNK_BYTES))
+        for number in range(first, min(first + CHUNKS_PER_REQUEST, count)):
+            if not self._within_budget():
+                return
+            start = number * MAX_CHUNK_BYTES
+            content = packed[start : start + MAX_CHUNK_BYTES]
+            self._sender.send(member, ConfigurationChunk(digest, number, count, content))
+
+    def received(self, member: Member, chunk: ConfigurationChunk) -> None:
+        """Take a chunk; the last one puts the transfer in force."""
+        if member.name not in self._sources:
+            return
+        if self._download is None or self._download.digest != chunk.digest:
+            self._download = Download(chunk.digest, chunk.chunks)
+        self._download.add(chunk)
+        if self._download.complete:
+            self._finish(member, self._download)
+        elif (chunk.chunk + 1) % CHUNKS_PER_REQUEST == 0:
+            self._pull(member)
+
+    async def run(self) -> None:
+        """Repeat requests that were not answered, for as long as the task runs."""
+        while True:
+            await asyncio.sleep(PULL_INTERVAL_S)
+            self._drop_old_sources()
+            if self._sources:
+                name = next(iter(self._sources))
+                source = self._sources.pop(name)
+                self._sources[name] = source
+                self._pull(source[0])
+
+    def _pull(self, member: Member) -> None:
+        digest, first = b"", 0
+        if self._download is not None:
+            digest, first = self._download.digest, self._download.first_missing
+        request = ConfigurationRequest(self._store.version, digest, first)
+        self._sender.send(member, request)
+
+    def _finish(self, member: Member, download: Download) -> None:
+        self._download = None
+        transfer = download.content()
+        failure = self._store.take_transfer(transfer, member.name) if transfer else None
+        if transfer is None or isinstance(failure, Failure):
+            reason = failure.reason if failure else "broken transfer"
+            logger.warning("configuration from {} ignored: {}", member.name, reason)
+            self._sources.pop(member.name, None)
+        self._drop_old_sources()
+
+    def _drop_old_sources(self) -> None:
+        version = self._store.version
+        self._sources = {
+            name: source for name, source in self._sources.items() if source[1] > version
+        }
+        if not self._sources:
+            self._download = None
+
+    def _pack(self, after_version: int) -> bytes | None:
+        """Return a transfer as it is sent, kept while peers ask for the same one."""
+        if self._packed and self._packed[:2] == (after_version, self._store.digest):
+            return self._packed[2]
+        transfer = self._store.transfer(after_version)
+        if transfer is None:
+            return None
+        packed = zlib.compress(msgspec.msgpack.encode(transfer))
+        self._packed = (after_version, self._store.digest, packed)
+        return packed
+
+    def _within_budget(self) -> bool:
+        now_s = self._clock()
+        self._budget = min(CHUNKS_PER_S, self._budget + (now_s - self._budget_s) * CHUNKS_PER_S)
+        self._budget_s = now_s
+        if self._budget < 1:
+            return False
+        self._budget -= 1
+        return True
+
+
+def _digest(packed: bytes) -> bytes:
+    return hashlib.blake2b(packed, digest_size=TRANSFER_DIGEST_BYTES).digest()
--- a/fighinge/configuration/watcher.py
+++ b/fighinge/configuration/watcher.py
@@ -1,35 +1,153 @@
-"""Watches the platform and feeds the configuration store."""
+"""Watches the platform and feeds the configuration store and the fleet."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import TYPE_CHECKING
 
 import logbook
 
+from fighinge.configuration.readers import (
+    HOST_LIST_READS_PER_S,
+    MIN_INTERVAL_S,
+    SPARE_READS_PER_S,
+    is_reader,
+    spare_interval_s,
+)
 from fighinge.errors import Failure
 
 if TYPE_CHECKING:
-    from fighinge.configuration.base import ConfigurationService
+    import random
+    from collections.abc import Callable
+
+    from fighinge.configuration.base import ConfigurationService, HostEntry, HostList, Values
     from fighinge.configuration.store import ConfigurationStore
+    from fighinge.membership.service import Membership
 
 logger = logbook.Logger(__name__)
 
-WATCH_WAIT_S = 20.0
-RETRY_PAUSE_S = 1.0
 KEY_PREFIX = "configuration/"
+WATCH_WAIT_S = 20.0
+START_SPREAD_S = 1.0
+FIRST_RETRY_S = 0.5
+MAX_RETRY_S = 8.0
+READER_PAUSE_S = 0.1
 
 
-async def watch(service: ConfigurationService, store: ConfigurationStore) -> None:
-    """Read and watch the platform for as long as the task runs."""
-    revision, wait_s = 0, 0.0
-    while True:
-        values = await service.read(KEY_PREFIX, revision, wait_s)
+class ConfigurationWatcher:
+    """Reads what is published: a reader watches, another process only reads now and then."""
+
+    __slots__ = (
+        "_clock",
+        "_failures",
+        "_membership",
+        "_random",
+        "_read_all",
+        "_revision",
+        "_service",
+        "_store",
+    )
+
+    def __init__(
+        self,
+        service: ConfigurationService,
+        store: ConfigurationStore,
+        membership: Membership,
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ) -> None:
+        self._service = service
+        self._store = store
+        self._membership = membership
+        self._clock = clock
+        self._random = random_source
+        self._revision = 0
+        self._failures = 0
+        self._read_all = asyncio.Event()
+        membership.spread.on_conflict = self._read_all.set
+
+    async def run(self) -> None:
+        """Read for as long as the task runs."""
+        await asyncio.sleep(START_SPREAD_S * self._random.random())
+        while True:
+            watches = self._revision > 0 and is_reader(self._membership.table)
+            await self.read_once(WATCH_WAIT_S if watches else 0.0)
+            await self._pause()
+
+    async def read_once(self, wait_s: float) -> None:
+        """Read once and take what changed.
+
+        :param wait_s: how long to wait for a change
+        """
+        values = await self._service.read(KEY_PREFIX, self._revision, wait_s)
         if isinstance(values, Failure):
-            logger.warning("{}", values.reason)
-            await asyncio.sleep(RETRY_PAUSE_S * (0.5 + random.random()))
-            continue
-        if values.values:
-            store.take(values)
-        revision, wait_s = values.revision, WATCH_WAIT_S
+            self._failed(values)
+            return
+        if self._failures:
+            logger.info("the platform answers again")
+        self._failures = 0
+        if values.revision < self._revision:
+            logger.warning(
+                "the platform is at revision {}, but was at {}", values.revision, self._revision
+            )
+            self._start_over()
+            return
+        self._take(values)
+
+    def _take(self, values: Values) -> None:
+        self._revision = values.revision
+        failure = self._store.take(values) if values.values else None
+        if failure is None:
+            self._membership.spread.confirmation.platform(self._clock())
+
+    def _failed(self, failure: Failure) -> None:
+        if not self._failures:
+            logger.warning("{}", failure.reason)
+        self._failures += 1
+
+    def _start_over(self) -> None:
+        """Read everything anew the next time; what is in force stays."""
+        self._revision = 0
+        self._store.forget_published()
+
+    async def _pause(self) -> None:
+        """Wait until the next read is due, less long where another document was heard of."""
+        pause_s = self._pause_s() * (0.75 + 0.5 * self._random.random())
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._read_all.wait()
+        except TimeoutError:
+            return
+        members = len(self._membership.table.members())
+        await asyncio.sleep(spare_interval_s(members, SPARE_READS_PER_S))
+        self._read_all.clear()
+        self._start_over()
+
+    def _pause_s(self) -> float:
+        table = self._membership.table
+        spare_s = spare_interval_s(len(table.members()), SPARE_READS_PER_S)
+        if self._failures:
+            retry_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2 ** min(self._failures - 1, 8))
+            return retry_s if is_reader(table) else max(retry_s, spare_s)
+        if self._revision == 0:
+            return FIRST_RETRY_S
+        return READER_PAUSE_S if is_reader(table) else spare_s
+
+
+async def follow_host_list(
+    host_list: HostList,
+    membership: Membership,
+    take: Callable[[list[HostEntry]], None],
+    random_source: random.Random,
+) -> None:
+    """Read the platform's host list for as long as the task runs."""
+    while True:
+        hosts = await host_list.hosts()
+        if not isinstance(hosts, Failure):
+            membership.set_seeds([host.address for host in hosts])
+            take(hosts)
+        table = membership.table
+        interval_s = MIN_INTERVAL_S
+        if not is_reader(table):
+            interval_s = spare_interval_s(len(table.members()), HOST_LIST_READS_PER_S)
+        await asyncio.sleep(interval_s * (0.75 + 0.5 * random_source.random()))
--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -19,7 +19,9 @@
     from fighinge.messages import GroupOutcome, Search
     from fighinge.model import Snapshot
 
-REPLACED_KINDS = frozenset({ErrorKind.NOT_OWNER, ErrorKind.STOPPING, ErrorKind.NOT_READY})
+REPLACED_KINDS = frozenset(
+    {ErrorKind.NOT_OWNER, ErrorKind.STOPPING, ErrorKind.NOT_READY, ErrorKind.ZONE_OUT}
+)
 
 
 class Assignment(msgspec.Struct):
--- a/fighinge/facts.py
+++ b/fighinge/facts.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+MAX_FACTS = 4096
+RENEWAL_S = 0.5
+
 
 class FactKind(enum.Enum):
     """What a fact is about.
@@ -17,11 +20,16 @@
     ``LOSS``: a fingerprint's request was in flight when a backend server was lost; the value
     names the server. ``QUARANTINE``: a fingerprint is refused; the value tells why.
     ``WARM``: a backend server is warm; the value is its process identity.
+    ``HOST_LEAVING``: the platform lists a host, the key, as leaving.
+    ``ZONE_BACK``: a zone, the key, is being brought back into service until the expiry; the
+    value is the configuration version that did it.
     """
 
     LOSS = "loss"
     QUARANTINE = "quarantine"
     WARM = "warm"
+    HOST_LEAVING = "host_leaving"
+    ZONE_BACK = "zone_back"
 
 
 class Fact(msgspec.Struct, frozen=True, array_like=True):
@@ -49,7 +57,13 @@
     def add(self, fact: Fact, now_s: float) -> bool:
         """Take a fact and return whether it tells something new."""
         known = self._facts.get((fact.kind, fact.key, fact.value))
-        if fact.expires_s <= now_s or (known and known.expires_s >= fact.expires_s):
+        if fact.expires_s <= now_s or (known and fact.expires_s - known.expires_s < RENEWAL_S):
+            return False
+        if (
+            known is None
+            and len(self._facts) >= MAX_FACTS
+            and len(self.current(now_s)) >= MAX_FACTS
+        ):
             return False
         self._facts[fact.kind, fact.key, fact.value] = fact
         for listener in self._listeners:
@@ -64,6 +78,15 @@
             if fact.kind is kind and fact.key == key and fact.expires_s > now_s
         ]
 
+    def remaining_s(self, kind: FactKind, key: str, now_s: float) -> float:
+        """Return how long anything is still held true of a key, 0 if nothing is."""
+        expiries_s = [
+            fact.expires_s
+            for fact in self._facts.values()
+            if fact.kind is kind and fact.key == key and fact.expires_s > now_s
+        ]
+        return max(expiries_s, default=now_s) - now_s
+
     def current(self, now_s: float) -> list[Fact]:
         """Return every fact that has not expired and forget the others."""
         self._facts = {name: fact for name, fact in self._facts.items() if fact.expires_s > now_s}
--- /dev/null
+++ b/fighinge/membership/addresses.py
@@ -0,0 +1,52 @@
+"""Which entries a caller should use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fighinge.ownership import rendezvous_weight, zone_in_service
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fighinge.model import Document
+
+NEAR_ENTRIES = 2
+FAR_ENTRIES = 1
+
+
+class EntryCandidate(msgspec.Struct, frozen=True):
+    """An entry that takes new work."""
+
+    host: str
+    zone: str
+    overloaded: bool = False
+
+
+def choose_entries(
+    candidates: Iterable[EntryCandidate], document: Document, caller: str, zone: str
+) -> list[EntryCandidate]:
+    """Return the entries for a caller, the first one to be used first.
+
+    Entries in zones out of service are left out, overloaded ones only while others remain.
+    Those of the caller's zone come first, then those of its region; among equals the
+    rendezvous hash of the caller decides, so that callers spread evenly and most answers
+    stay the same when one entry comes or goes. The last one is in another zone if there is
+    one, so that a caller outlives the loss of a whole zone.
+    """
+    usable = [entry for entry in candidates if zone_in_service(document, entry.zone)]
+    usable = [entry for entry in usable if not entry.overloaded] or usable
+    region = document.zones[zone].region if zone in document.zones else None
+
+    def order(entry: EntryCandidate) -> tuple[bool, bool, int]:
+        is_far = document.zones[entry.zone].region != region
+        return (entry.zone != zone, is_far, -rendezvous_weight(entry.host, caller))
+
+    ranked = sorted(usable, key=order)
+    chosen = ranked[:NEAR_ENTRIES]
+    rest = ranked[NEAR_ENTRIES:]
+    nearest = ranked[0].zone if ranked else ""
+    elsewhere = [entry for entry in rest if entry.zone != nearest]
+    return chosen + (elsewhere or rest)[:FAR_ENTRIES]
--- a/fighinge/membership/fleet.py
+++ b/fighinge/membership/fleet.py
@@ -1,26 +1,31 @@
-"""What a process believes of the fleet's members."""
+"""What a process believes of the fleet, as its other parts use it."""
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import logbook
 import msgspec
 
-from fighinge.errors import Failure
-from fighinge.ownership import Candidate, rendezvous_weight, zone_in_service
+from fighinge.facts import Fact, FactKind
+from fighinge.membership.addresses import EntryCandidate, choose_entries
+from fighinge.membership.member import MemberState, Role
+from fighinge.ownership import Candidate
 from fighinge.queries import EntriesAnswer, EntryAddress
 
 if TYPE_CHECKING:
-    from fighinge.configuration.base import HostEntry, HostList
+    from collections.abc import Callable
+
+    from fighinge.configuration.base import HostEntry
+    from fighinge.facts import FactBoard
+    from fighinge.membership.member import Member
+    from fighinge.membership.table import MemberTable
+    from fighinge.membership.zone_return import ZoneReturns
     from fighinge.model import Document
 
 logger = logbook.Logger(__name__)
 
-HOST_LIST_INTERVAL_S = 2.0
-KEEP_S = 10.0
-ENTRIES_IN_ANSWER = 3
+LEAVING_FACT_S = 20.0
 
 
 class Ports(msgspec.Struct, frozen=True):
@@ -31,52 +36,91 @@
 
 
 class Fleet:
-    """The hosts that take new work, by the platform's list."""
-
-    __slots__ = ("_hosts", "_ports")
-
-    def __init__(self, ports: Ports) -> None:
+    """The members that take new work.
+
+    The host list is believed where it says that a host is leaving. That it lists a host as
+    live counts only until the first member has been heard from.
+    """
+
+    __slots__ = ("_board", "_clock", "_hosts", "_keep_s", "_ports", "_returns", "_table")
+
+    def __init__(
+        self,
+        ports: Ports,
+        table: MemberTable,
+        board: FactBoard,
+        returns: ZoneReturns,
+        keep_s: float,
+        clock: Callable[[], float],
+    ) -> None:
         self._ports = ports
+        self._table = table
+        self._returns = returns
+        self._board = board
+        self._keep_s = keep_s
+        self._clock = clock
         self._hosts: list[HostEntry] = []
 
     def take(self, hosts: list[HostEntry]) -> None:
         """Take the platform's list."""
-        self._hosts = [host for host in hosts if host.state == "live"]
+        now_s = self._clock()
+        self._hosts = hosts
+        for host in hosts:
+            if host.state == "leaving" and not self._is_leaving(host.address, now_s, renewed=True):
+                fact = Fact(FactKind.HOST_LEAVING, host.address, "listed", now_s + LEAVING_FACT_S)
+                self._board.add(fact, now_s)
 
     def aggregators(self) -> list[Candidate]:
         """Return the aggregators that take new work."""
-        return [Candidate(host.address, host.zone) for host in self._hosts]
+        return [
+            Candidate(host, zone, self._returns.share(zone))
+            for host, zone, _ in self._in_work(Role.AGGREGATOR)
+        ]
 
     def aggregator_address(self, name: str) -> str:
         """Return where an aggregator listens."""
         return f"{name}:{self._ports.aggregator}"
 
     def entry_url(self, name: str) -> str | None:
-        """Return the URL of an entry, or none where no such entry is a member."""
-        if any(host.address == name for host in self._hosts):
-            return f"http://{name}:{self._ports.entry}"
-        return None
+        """Return the URL of an entry, leaving ones too, or none where it is no member."""
+        hosts = {member.host for member in self._alive(Role.ENTRY)}
+        if not self._table.reachable():
+            hosts |= {host.address for host in self._hosts}
+        return f"http://{name}:{self._ports.entry}" if name in hosts else None
 
     def entries(self, document: Document, caller: str, zone: str) -> EntriesAnswer:
         """Tell a caller which entries to use, those of its zone first."""
-        usable = [host for host in self._hosts if zone_in_service(document, host.zone)]
-        ranked = sorted(
-            usable,
-            key=lambda host: (host.zone != zone, -rendezvous_weight(host.address, caller)),
-        )
+        candidates = [EntryCandidate(*entry) for entry in self._in_work(Role.ENTRY)]
         addresses = [
-            EntryAddress(host.address, host.zone, f"http://{host.address}:{self._ports.entry}")
-            for host in ranked[:ENTRIES_IN_ANSWER]
+            EntryAddress(entry.host, entry.zone, f"http://{entry.host}:{self._ports.entry}")
+            for entry in choose_entries(candidates, document, caller, zone)
+        ]
+        return EntriesAnswer(entries=addresses, keep_s=self._keep_s)
+
+    def _in_work(self, role: Role) -> list[tuple[str, str, bool]]:
+        """Return host, zone and overload of the members of a role that take new work."""
+        now_s = self._clock()
+        if self._table.reachable():
+            found = [
+                (member.host, member.zone, member.overloaded)
+                for member in self._alive(role)
+                if not member.leaving
+            ]
+        else:
+            found = [(host.address, host.zone, False) for host in self._hosts]
+        return [entry for entry in found if not self._is_leaving(entry[0], now_s)]
+
+    def _alive(self, role: Role) -> list[Member]:
+        return [
+            member
+            for member in self._table.members()
+            if member.role is role and member.state is not MemberState.DEAD
         ]
-        return EntriesAnswer(entries=addresses, keep_s=KEEP_S)
 
+    def _is_leaving(self, host: str, now_s: float, *, renewed: bool = False) -> bool:
+        """Return whether the platform lists a host as leaving.
 
-async def follow_host_list(host_list: HostList, fleet: Fleet) -> None:
-    """Read the platform's host list for as long as the task runs."""
-    while True:
-        hosts = await host_list.hosts()
-        if isinstance(hosts, Failure):
-            logger.warning("{}", hosts.reason)
-        else:
-            fleet.take(hosts)
-        await asyncio.sleep(HOST_LIST_INTERVAL_S)
+        :param renewed: whether that must hold for half of a fact's time from now
+        """
+        at_s = now_s + LEAVING_FACT_S / 2 if renewed else now_s
+        return bool(self._board.values(FactKind.HOST_LEAVING, host, at_s))
--- /dev/null
+++ b/fighinge/membership/gossip.py
@@ -0,0 +1,129 @@
+"""News that is passed on a bounded number of times in bounded datagrams."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fighinge.facts import Fact
+from fighinge.membership.member import Member
+from fighinge.membership.messages import (
+    MAX_DATAGRAM_BYTES,
+    MAX_FACT_S,
+    MAX_FACT_TEXT,
+    MAX_ITEMS,
+    Datagram,
+    FactRecord,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fighinge.membership.messages import Codec, ConfigurationMark, Message
+
+TRANSMISSIONS_FACTOR = 3
+ENVELOPE_BYTES = 24
+
+
+class News:
+    """An item with the number of times that it is still to be sent."""
+
+    __slots__ = ("item", "times_left")
+
+    def __init__(self, item: Member | Fact, times_left: int) -> None:
+        self.item = item
+        self.times_left = times_left
+
+
+class NewsQueue:
+    """What this process learned and still passes on, the least sent first."""
+
+    __slots__ = ("_news",)
+
+    def __init__(self) -> None:
+        self._news: dict[object, News] = {}
+
+    def __len__(self) -> int:
+        return len(self._news)
+
+    def put(self, item: Member | Fact, members: int) -> None:
+        """Pass an item on; it replaces older news of the same thing.
+
+        :param members: the fleet's size, whose logarithm tells how often to send
+        """
+        times = TRANSMISSIONS_FACTOR * math.ceil(math.log10(members + 2))
+        self._news[_key(item)] = News(item, times)
+
+    def next(self) -> list[Member | Fact]:
+        """Return the items for one datagram, the least sent first."""
+        ordered = sorted(self._news.values(), key=lambda news: -news.times_left)
+        return [news.item for news in ordered[:MAX_ITEMS]]
+
+    def sent(self, items: Iterable[Member | Fact]) -> None:
+        """Count items that a datagram had room for."""
+        for item in items:
+            news = self._news.get(_key(item))
+            if news is None or news.item is not item:
+                continue
+            news.times_left -= 1
+            if news.times_left <= 0:
+                del self._news[_key(item)]
+
+
+class Packer:
+    """Builds datagrams that keep to the size limit."""
+
+    __slots__ = ("_codec",)
+
+    def __init__(self, codec: Codec) -> None:
+        self._codec = codec
+
+    def pack(
+        self,
+        sender: Member,
+        mark: ConfigurationMark,
+        message: Message,
+        items: list[Member | Fact],
+        now_s: float,
+    ) -> tuple[bytes, list[Member | Fact]]:
+        """Return a datagram and which of the items it had room for."""
+        bare = len(self._codec.encode(Datagram(sender, mark, message)))
+        room_bytes = MAX_DATAGRAM_BYTES - ENVELOPE_BYTES - bare
+        members: list[Member] = []
+        facts: list[FactRecord] = []
+        packed: list[Member | Fact] = []
+        for item in items:
+            record = item if isinstance(item, Member) else fact_record(item, now_s)
+            if record is None:
+                packed.append(item)
+                continue
+            size_bytes = self._codec.size_bytes(record)
+            if size_bytes > room_bytes:
+                continue
+            room_bytes -= size_bytes
+            packed.append(item)
+            (members if isinstance(record, Member) else facts).append(record)
+        datagram = Datagram(sender, mark, message, tuple(members), tuple(facts))
+        return self._codec.encode(datagram), packed
+
+
+def fact_record(fact: Fact, now_s: float) -> FactRecord | None:
+    """Return a fact as it is sent, or none if it has expired or does not fit."""
+    remaining_s = min(fact.expires_s - now_s, MAX_FACT_S)
+    too_long = max(len(fact.key), len(fact.value)) > MAX_FACT_TEXT
+    if remaining_s <= 0 or too_long:
+        return None
+    return FactRecord(fact.kind, fact.key, fact.value, remaining_s)
+
+
+def received_fact(record: FactRecord, now_s: float) -> Fact:
+    """Return a fact on the local clock."""
+    return Fact(record.kind, record.key, record.value, now_s + record.remaining_s)
+
+
+def _key(item: Member | Fact) -> object:
+    if isinstance(item, Member):
+        return item.name
+    return msgspec.structs.astuple(item)[:3]
--- a/fighinge/ownership.py
+++ b/fighinge/ownership.py
@@ -13,12 +13,19 @@
     from fighinge.groups import Group
     from fighinge.model import Document
 
+MAX_WEIGHT = 2**64
+
 
 class Candidate(msgspec.Struct, frozen=True):
-    """An aggregator that may own groups."""
+    """An aggregator that may own groups.
+
+    ``share`` is the share of the groups for which it comes before others; the rest of them
+    turns to it only when no other is left.
+    """
 
     name: str
     zone: str
+    share: float = 1.0
 
 
 def owner_order(group: Group, document: Document, candidates: Iterable[Candidate]) -> list[str]:
@@ -35,6 +42,7 @@
     ranked = sorted(
         eligible,
         key=lambda candidate: (
+            not _has_share(candidate, group),
             -replicas_in_zone.get(candidate.zone, 0),
             -rendezvous_weight(candidate.name, group.name),
         ),
@@ -42,6 +50,10 @@
     return [candidate.name for candidate in ranked]
 
 
+def _has_share(candidate: Candidate, group: Group) -> bool:
+    return rendezvous_weight(candidate.zone, group.name) < candidate.share * MAX_WEIGHT
+
+
 def zone_in_service(document: Document, zone: str) -> bool:
     """Return whether operators have the zone in service; an unlisted zone is out."""
     entry = document.zones.get(zone)
--- a/fighinge/process.py
+++ b/fighinge/process.py
@@ -3,56 +3,124 @@
 from __future__ import annotations
 
 import asyncio
-import signal
+import random
 import sys
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import logbook
 
+from fighinge.admission import Admission
 from fighinge.configuration.platform_client import PlatformClient
 from fighinge.configuration.store import ConfigurationStore
-from fighinge.configuration.watcher import watch
+from fighinge.configuration.watcher import ConfigurationWatcher, follow_host_list
 from fighinge.errors import Failure
+from fighinge.facts import FactBoard
 from fighinge.logs import set_up_logs
-from fighinge.membership.fleet import Fleet, Ports, follow_host_list
+from fighinge.membership.fleet import Fleet, Ports
+from fighinge.membership.member import GossipPorts, Member, Role
+from fighinge.membership.messages import Codec
+from fighinge.membership.service import Membership
+from fighinge.membership.transport import UdpTransport
+from fighinge.membership.zone_return import ZoneReturns
+from fighinge.pauses import PauseWatch
 from fighinge.settings import Settings, read_settings
+from fighinge.stop import StopRequest
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
 
 logger = logbook.Logger(__name__)
 
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
 
 class Node:
     """The parts that every role has: configuration, membership and background tasks."""
 
-    __slots__ = ("_tasks", "fleet", "platform", "settings", "store")
+    __slots__ = (
+        "_random",
+        "_tasks",
+        "admission",
+        "board",
+        "failed",
+        "fleet",
+        "membership",
+        "pauses",
+        "platform",
+        "settings",
+        "stop_request",
+        "store",
+    )
 
     def __init__(self, settings: Settings, role: str) -> None:
+        clock = asyncio.get_running_loop().time
+        self._random = random.Random()
+        self._tasks: set[asyncio.Task] = set()
+        self.failed = False
         self.settings = settings
+        self.stop_request = StopRequest.from_signals()
         self.platform = PlatformClient(settings.platform_url, f"{role}@{settings.address}")
         self.store = ConfigurationStore()
-        self.fleet = Fleet(Ports(settings.entry_port, settings.aggregator_port))
-        self._tasks: list[asyncio.Task] = []
+        self.board = FactBoard()
+        self.pauses = PauseWatch(clock)
+        self.membership = _membership(settings, Role(role), self.store, self.board, self._random)
+        returns = ZoneReturns(self.board, clock)
+        self.store.listen(returns.configure)
+        self.pauses.listen(self.membership.paused)
+        self.fleet = Fleet(
+            Ports(settings.entry_port, settings.aggregator_port),
+            self.membership.table,
+            self.board,
+            returns,
+            settings.keep_s,
+            clock,
+        )
+        self.admission = Admission(
+            settings.zone, self.store, self.membership.spread, self.pauses, clock
+        )
 
     def start(self) -> None:
-        """Start to follow the platform."""
-        self.spawn(watch(self.platform, self.store))
-        self.spawn(follow_host_list(self.platform, self.fleet))
+        """Take part in the fleet and follow the platform."""
+        clock = asyncio.get_running_loop().time
+        watcher = ConfigurationWatcher(
+            self.platform, self.store, self.membership, clock, self._random
+        )
+        self.spawn(self.pauses.run())
+        self.spawn(self.membership.run())
+        self.spawn(watcher.run())
+        self.spawn(follow_host_list(self.platform, self.membership, self.fleet.take, self._random))
 
     def spawn(self, work: Coroutine) -> None:
-        """Run a task until the process stops."""
-        self._tasks.append(asyncio.create_task(work))
+        """Run a task until the process stops; its failure stops the process."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
 
     async def stop(self) -> None:
-        """End every task."""
-        for task in self._tasks:
+        """Tell peers that this process is gone and end every task.
+
+        :raises SystemExit: if the process stops because a task failed
+        """
+        self.membership.farewell()
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         self.platform.close()
+        if self.failed:
+            sys.exit(EXIT_FAILED)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        logger.critical("background task failed: {!r}", error, exc_info=_exc_info(error))
+        self.failed = True
+        self.stop_request.ask()
 
 
 def run_process(
@@ -70,10 +138,26 @@
     asyncio.run(serve(settings))
 
 
-async def wait_for_stop() -> None:
-    """Return when the process is told to stop."""
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+def _membership(
+    settings: Settings,
+    role: Role,
+    store: ConfigurationStore,
+    board: FactBoard,
+    random_source: random.Random,
+) -> Membership:
+    ports = GossipPorts(settings.entry_gossip_port, settings.aggregator_gossip_port)
+    incarnation = int(time.time() * 1000)
+    return Membership(
+        Member(role, settings.address, settings.zone, incarnation),
+        ports,
+        UdpTransport(ports.address(role, settings.address)),
+        store,
+        board,
+        asyncio.get_running_loop().time,
+        random_source,
+        Codec(settings.gossip_key),
+    )
+
+
+def _exc_info(error: BaseException):
+    return (type(error), error, error.__traceback__)
--- a/fighinge/queries.py
+++ b/fighinge/queries.py
@@ -77,10 +77,19 @@
     trace: Trace | None = None
 
 
+class EntryAddress(msgspec.Struct, frozen=True):
+    """An entry that a caller may connect to."""
+
+    name: str
+    zone: str
+    url: str
+
+
 class QueryError(msgspec.Struct, kw_only=True):
     """An error in place of an answer.
 
     ``not_run`` is true only where it is certain that the request ran nowhere.
+    ``entries`` tells which entries to use where this one is in a zone out of service.
     """
 
     request_id: str
@@ -91,14 +100,7 @@
     not_run: bool
     retry_after_s: float | None = None
     coverage: Coverage | None = None
-
-
-class EntryAddress(msgspec.Struct, frozen=True):
-    """An entry that a caller may connect to."""
-
-    name: str
-    zone: str
-    url: str
+    entries: list[EntryAddress] = []
 
 
 class EntriesAnswer(msgspec.Struct, kw_only=True):
--- a/fighinge/settings.py
+++ b/fighinge/settings.py
@@ -19,7 +19,9 @@
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
     """What a process learns from its settings file.
 
-    ``address`` is the host's own IP number; ports are the same on every host.
+    ``address`` is the host's own IP number; ports are the same on every host. ``gossip_key``
+    is a secret that the fleet's datagrams are checked with. Callers keep an answer on which
+    entries to use for ``keep_s``, and a stopping process serves on for as long.
     """
 
     address: str
@@ -29,6 +31,8 @@
     aggregator_port: int = 8090
     entry_gossip_port: int = 8070
     aggregator_gossip_port: int = 8071
+    gossip_key: str = ""
+    keep_s: float = 10.0
     log_format: str = "text"
     log_level: str = "INFO"
 
@@ -42,6 +46,8 @@
         "entry_gossip": "entry_gossip_port",
         "aggregator_gossip": "aggregator_gossip_port",
     },
+    "gossip": {"key": "gossip_key"},
+    "stop": {"keep_s": "keep_s"},
     "log": {"format": "log_format", "level": "log_level"},
 }
 REQUIRED = (("host", "address"), ("host", "zone"), ("platform", "url"))
@@ -80,6 +86,8 @@
 def _value(name: str, text: str) -> object | None:
     if name.endswith("_port"):
         return int(text) if text.isdecimal() and 1 <= int(text) <= 65535 else None
+    if name == "keep_s":
+        return _seconds(text)
     if name == "address":
         return text if _is_ip(text) else None
     if name == "platform_url":
@@ -91,6 +99,14 @@
     return text or None
 
 
+def _seconds(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value <= 3600 else None
+
+
 def _is_ip(text: str) -> bool:
     try:
         ipaddress.ip_address(text)
--- /dev/null
+++ b/standins/datagrams.py
@@ -0,0 +1,62 @@
+"""A stand-in network that carries datagrams between members in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fighinge.membership.member import GossipAddress
+
+LATENCY_S = 0.0015
+
+
+class DatagramNetwork:
+    """Delivers datagrams after a latency, except where it is told to lose them.
+
+    ``blocked`` decides by the hosts of sender and receiver, so that a direction can be cut
+    by itself; ``loss`` is the share that is lost at random.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.loss = 0.0
+        self.blocked: Callable[[str, str], bool] = lambda _sender, _receiver: False
+        self.receivers: dict[GossipAddress, Callable[[bytes, str], None]] = {}
+        self.delivered = 0
+        self._random = random.Random(seed)
+
+    def deliver(self, data: bytes, sender: GossipAddress, receiver: GossipAddress) -> None:
+        """Carry one datagram."""
+        if self.blocked(sender.host, receiver.host) or self._random.random() < self.loss:
+            return
+        latency_s = LATENCY_S * (0.5 + self._random.random())
+        asyncio.get_running_loop().call_later(latency_s, self._arrive, data, sender, receiver)
+
+    def _arrive(self, data: bytes, sender: GossipAddress, receiver: GossipAddress) -> None:
+        receive = self.receivers.get(receiver)
+        if receive is not None:
+            self.delivered += 1
+            receive(data, sender.host)
+
+
+class NetworkTransport:
+    """One member's connection to the stand-in network."""
+
+    def __init__(self, network: DatagramNetwork, address: GossipAddress) -> None:
+        self._network = network
+        self._address = address
+
+    async def open(self, receive: Callable[[bytes, str], None]) -> None:
+        """Start to receive."""
+        self._network.receivers[self._address] = receive
+
+    def send(self, data: bytes, address: GossipAddress) -> None:
+        """Send a datagram."""
+        self._network.deliver(data, self._address, address)
+
+    def close(self) -> None:
+        """Stop to receive."""
+        self._network.receivers.pop(self._address, None)
--- /dev/null
+++ b/tests/features/steps/membership_steps.py
@@ -0,0 +1,175 @@
+"""Steps about membership."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+import looptime
+from behave import given, then, when
+
+from fighinge.membership.member import Member, MemberState, Role
+from fighinge.membership.messages import Codec, ConfigurationMark, Datagram, Gossip
+from tests.fleets import PORTS, ProcessFleet, until
+
+DEAD_INCARNATION = 2**40
+
+
+def on_loop(context, work):
+    """Go on in the scenario's virtual time."""
+    return context.loop.run_until_complete(work)
+
+
+def new_loop(context):
+    """Start virtual time for a scenario."""
+    context.loop = looptime.new_event_loop(start=1000.0, end=100_000.0)
+    asyncio.set_event_loop(context.loop)
+    context.add_cleanup(close_loop, context.loop)
+
+
+def close_loop(loop):
+    """End every task of a scenario."""
+    pending = asyncio.all_tasks(loop)
+    for task in pending:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+    asyncio.set_event_loop(None)
+    loop.close()
+
+
+@given(
+    "membership of {zones:d} zones with {hosts:d} hosts each that loses {loss:g} of its datagrams"
+)
+def start_fleet(context, zones, hosts, loss):
+    new_loop(context)
+
+    async def start():
+        context.fleet = ProcessFleet(zones, hosts)
+        await until(context.fleet.all_alive, 10)
+        context.fleet.network.loss = loss
+
+    on_loop(context, start())
+
+
+@when('membership meets "{event}" at host "{host}"')
+def meet(context, event, host):
+    fleet = context.fleet
+    others = set(fleet.hosts) - {host}
+
+    async def crash():
+        fleet.processes.pop(host).crash()
+
+    async def restart():
+        fleet.start(host, incarnation=101)
+
+    async def replaced():
+        fleet.start(host, incarnation=1)
+
+    async def pause():
+        fleet.cut({host}, others)
+        context.paused = fleet.processes[host]
+        context.paused.crash()
+
+    async def wake():
+        fleet.heal()
+        process = context.paused
+        process.task = asyncio.create_task(process.membership.run())
+        process.membership.paused(process.clock())
+
+    async def cut():
+        fleet.cut({host}, others)
+
+    async def cut_inward():
+        fleet.cut(others, {host}, one_way=True)
+
+    async def heal():
+        fleet.heal()
+
+    async def stop():
+        process = fleet.processes.pop(host)
+        process.membership.leave()
+        await asyncio.sleep(1)
+        process.membership.farewell()
+        process.crash()
+
+    events = {
+        "crash": crash,
+        "restart": restart,
+        "replaced host": replaced,
+        "pause": pause,
+        "wake-up": wake,
+        "cut off": cut,
+        "cut off inward": cut_inward,
+        "healing": heal,
+        "planned stop": stop,
+    }
+    on_loop(context, events[event]())
+
+
+@when("membership is split around zone {zone:d} for {duration:g} s, {direction}")
+def split(context, zone, duration, direction):
+    fleet = context.fleet
+    side = {host for host in fleet.hosts if host.startswith(f"10.0.{zone}.")}
+    fleet.cut(side, set(fleet.hosts) - side, one_way=direction == "one way")
+    on_loop(context, asyncio.sleep(duration))
+
+
+@when('membership of host "{host}" flaps every {period:g} s for {duration:g} s')
+def flap(context, host, period, duration):
+    fleet = context.fleet
+
+    async def run():
+        for _ in range(int(duration / period / 2)):
+            fleet.cut({host}, set(fleet.hosts) - {host})
+            await asyncio.sleep(period)
+            fleet.heal()
+            await asyncio.sleep(period)
+
+    on_loop(context, run())
+
+
+@when("membership gets a datagram that is {fault}")
+def get_datagram(context, fault):
+    first, second = context.fleet.processes
+    forged = Datagram(
+        Member(Role.ENTRY, second, "z1", DEAD_INCARNATION, MemberState.DEAD),
+        ConfigurationMark(),
+        Gossip(),
+    )
+    data = Codec().encode(forged)
+    body = b"\x93\x01\x02\x03"
+    wrong = b"fg1" + hashlib.blake2b(body, digest_size=8).digest() + body
+    data, source = {
+        "random bytes": (b"\x00" * 40, second),
+        "damaged": (data[:-1] + b"\xff", second),
+        "under another key": (Codec("secret").encode(forged), second),
+        "in another's name": (data, "10.9.9.9"),
+        "of wrong content": (wrong, second),
+        "too long": (data + b"\x00" * 1400, second),
+    }[fault]
+    context.receiver = context.fleet.processes[first].membership
+    context.fleet.network.receivers[PORTS.address(Role.ENTRY, first)](data, source)
+
+
+@then('membership has counted it as "{fault}"')
+def counted(context, fault):
+    assert dict(context.receiver.ignored) == {fault: 1}, context.receiver.ignored
+
+
+@then('membership holds "{host}" as {state} within {limit:g} s')
+def holds(context, host, state, limit):
+    fleet = context.fleet
+
+    def held():
+        return all(
+            process.sees(host) is MemberState[state]
+            for process in fleet.processes.values()
+            if process.host != host
+        )
+
+    on_loop(context, until(held, limit))
+
+
+@then("membership holds all as alive within {limit:g} s")
+def all_alive(context, limit):
+    on_loop(context, until(context.fleet.all_alive, limit))
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,133 @@
+"""Fleets of memberships in one process, joined by a stand-in network."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+
+from fighinge.configuration.base import Values
+from fighinge.configuration.history import BASE_KEY, PATCH_PREFIX
+from fighinge.configuration.store import ConfigurationStore
+from fighinge.facts import FactBoard
+from fighinge.membership.member import GossipPorts, Member, MemberState, Role
+from fighinge.membership.messages import Codec
+from fighinge.membership.service import Membership
+from standins.datagrams import DatagramNetwork, NetworkTransport
+from tests.builders import raw_document
+
+PORTS = GossipPorts(8070, 8071)
+
+
+class Process:
+    """One process's membership with its store and facts."""
+
+    def __init__(
+        self, network: DatagramNetwork, me: Member, hosts: list[str], key: str = ""
+    ) -> None:
+        self.clock = asyncio.get_running_loop().time
+        self.board = FactBoard()
+        self.store = ConfigurationStore()
+        self.transport = NetworkTransport(network, PORTS.address(me.role, me.host))
+        self.membership = Membership(
+            me,
+            PORTS,
+            self.transport,
+            self.store,
+            self.board,
+            self.clock,
+            random.Random(f"{me.name} {me.incarnation}"),
+            Codec(key),
+        )
+        self.membership.set_seeds(hosts)
+        self.task = asyncio.create_task(self.membership.run())
+
+    @property
+    def host(self) -> str:
+        """Return the host of the process."""
+        return self.membership.table.me.host
+
+    def crash(self) -> None:
+        """End without a word."""
+        self.task.cancel()
+
+    def sees(self, host: str) -> MemberState | None:
+        """Return what is believed of the entry on a host."""
+        member = self.membership.table.get(f"entry@{host}")
+        return member.state if member else None
+
+
+class ProcessFleet:
+    """Entries on hosts ``10.0.ZONE.NUMBER``, all started at once."""
+
+    def __init__(self, zones: int, hosts_per_zone: int, seed: int = 1) -> None:
+        self.network = DatagramNetwork(seed)
+        self.hosts = {
+            f"10.0.{zone}.{number}": f"z{zone}"
+            for zone in range(1, zones + 1)
+            for number in range(1, hosts_per_zone + 1)
+        }
+        self.processes: dict[str, Process] = {}
+        for host in self.hosts:
+            self.start(host)
+
+    def start(self, host: str, incarnation: int = 100, key: str = "") -> Process:
+        """Start a process on a host."""
+        me = Member(Role.ENTRY, host, self.hosts[host], incarnation)
+        process = Process(self.network, me, list(self.hosts), key)
+        self.processes[host] = process
+        return process
+
+    def cut(self, first: set[str], second: set[str], *, one_way: bool = False) -> None:
+        """Lose datagrams between two sets of hosts, or only from the first to the second."""
+
+        def blocked(sender: str, receiver: str) -> bool:
+            forth = sender in first and receiver in second
+            back = sender in second and receiver in first
+            return forth or (back and not one_way)
+
+        self.network.blocked = blocked
+
+    def heal(self) -> None:
+        """Lose nothing any more."""
+        self.network.blocked = lambda _sender, _receiver: False
+
+    def all_see(self, host: str, state: MemberState | None) -> bool:
+        """Return whether every other process believes the same of a host."""
+        return all(
+            process.sees(host) is state
+            for process in self.processes.values()
+            if process.host != host
+        )
+
+    def all_alive(self) -> bool:
+        """Return whether every process believes that all are alive."""
+        return all(self.all_see(host, MemberState.ALIVE) for host in self.processes)
+
+
+async def until(condition, limit_s: float) -> float:
+    """Wait until a condition holds and return how long that took.
+
+    :raises AssertionError: if it does not hold in time
+    """
+    clock = asyncio.get_running_loop().time
+    started_s = clock()
+    while not condition():
+        assert clock() - started_s <= limit_s, f"not within {limit_s} s"
+        await asyncio.sleep(0.05)
+    return clock() - started_s
+
+
+def base_values(version: int = 1, **changes) -> Values:
+    """Return what a platform with only a base publishes."""
+    base = {"version": version, "document": raw_document(**changes)}
+    return Values(version, {BASE_KEY: msgspec.Raw(msgspec.json.encode(base))})
+
+
+def zone_patch(applies_to: int, zone: str = "z1", *, in_service: bool = False) -> Values:
+    """Return a published patch that takes a zone out of service or back."""
+    operation = {"op": "add", "path": f"/zones/{zone}/in_service", "value": in_service}
+    patch = {"applies_to": applies_to, "operations": [operation]}
+    key = f"{PATCH_PREFIX}{applies_to:08d}"
+    return Values(applies_to + 1, {key: msgspec.Raw(msgspec.json.encode(patch))})
