--- a/fighinge/cmd/aggregator.py
+++ b/fighinge/cmd/aggregator.py
@@ -10,6 +10,7 @@
 
 from fighinge.aggregator.admitted import AdmittedSubQueries
 from fighinge.aggregator.http_client import HttpBackendClient
+from fighinge.aggregator.policy import Policy
 from fighinge.aggregator.service import AggregatorService
 from fighinge.aggregator.stream_server import StreamServer
 from fighinge.process import Node, run_process
@@ -38,7 +39,15 @@
     """Serve entries until the process is told to stop."""
     node = Node(settings, "aggregator")
     client = HttpBackendClient.create()
-    service = AggregatorService(client, asyncio.get_running_loop().time)
+    service = AggregatorService(
+        client,
+        asyncio.get_running_loop().time,
+        name=settings.address,
+        zone=settings.zone,
+        fleet=node.fleet,
+        facts=node.board,
+        policy=Policy.named(settings.aggregator_policy),
+    )
     node.store.listen(lambda accepted: service.configure(accepted.document))
     admitted = AdmittedSubQueries(service, node.admission)
     server = StreamServer(admitted)
@@ -50,7 +59,7 @@
     logger.notice("aggregator stops")
     node.membership.leave()
     await node.stop_request.pause(min(settings.keep_s, LEAVE_S))
-    node.admission.stopping = True
+    service.stop()
     if not await admitted.running.finished(FINISH_LIMIT_S):
         logger.error("{} sub-queries were cut off", len(admitted.running))
     await asyncio.sleep(FLUSH_S)
--- a/fighinge/settings.py
+++ b/fighinge/settings.py
@@ -35,6 +35,7 @@
     keep_s: float = 10.0
     log_format: str = "text"
     log_level: str = "INFO"
+    aggregator_policy: str = "full"
 
 
 SECTIONS: dict[str, dict[str, str]] = {
@@ -49,10 +50,17 @@
     "gossip": {"key": "gossip_key"},
     "stop": {"keep_s": "keep_s"},
     "log": {"format": "log_format", "level": "log_level"},
+    "aggregator": {"policy": "aggregator_policy"},
 }
 REQUIRED = (("host", "address"), ("host", "zone"), ("platform", "url"))
+AGGREGATOR_POLICIES = ("full", "plain")
 LOG_FORMATS = ("text", "json")
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
+CHOICES = {
+    "log_format": LOG_FORMATS,
+    "log_level": LOG_LEVELS,
+    "aggregator_policy": AGGREGATOR_POLICIES,
+}
 
 
 def read_settings(path: Path) -> Settings | Failure:
@@ -92,10 +100,8 @@
         return text if _is_ip(text) else None
     if name == "platform_url":
         return text if text.startswith("http://") else None
-    if name == "log_format":
-        return text if text in LOG_FORMATS else None
-    if name == "log_level":
-        return text if text in LOG_LEVELS else None
+    if name in CHOICES:
+        return text if text in CHOICES[name] else None
     return text or None
 
 
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -22,7 +22,7 @@
 
 def new_loop(context):
     """Start virtual time for a scenario."""
-    context.loop = looptime.new_event_loop(start=1000.0, end=100_000.0)
+    context.loop = looptime.new_event_loop(start=1000.0, end=100_000.0, noop_cycles=1)
     asyncio.set_event_loop(context.loop)
     context.add_cleanup(close_loop, context.loop)
 
