--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -22,7 +22,9 @@
     from fighinge.entry.response_times import ResponseTimes
     from fighinge.messages import GroupOutcome, Search
 
-REPLACED_KINDS = frozenset({ErrorKind.NOT_OWNER, ErrorKind.STOPPING, ErrorKind.NOT_READY})
+REPLACED_KINDS = frozenset(
+    {ErrorKind.NOT_OWNER, ErrorKind.STOPPING, ErrorKind.NOT_READY, ErrorKind.ZONE_OUT}
+)
 VANISHED_KINDS = frozenset({ErrorKind.SNAPSHOT_GONE, ErrorKind.NO_REPLICA})
 VANISHED_SHARE = 0.1
 SILENCE_SHARE = 0.3
