--- a/fighinge/queries.py
+++ b/fighinge/queries.py
@@ -65,7 +65,12 @@
 
 
 class QueryAnswer(msgspec.Struct, kw_only=True):
-    """The whole answer to one request."""
+    """The whole answer to one request.
+
+    ``counts_exact`` is false where an included shard returned records that are not its own, so
+    that its share of ``total`` and ``facets`` may count records of another shard too. An answer
+    with a ``cursor`` may have fewer records than the limit; the next page starts behind them.
+    """
 
     request_id: str
     snapshot: SnapshotName
@@ -73,14 +78,24 @@
     total: int
     facets: dict[str, dict[str, int]]
     coverage: Coverage
+    counts_exact: bool = True
     cursor: str = ""
     trace: Trace | None = None
 
 
+class EntryAddress(msgspec.Struct, frozen=True):
+    """An entry that a caller may connect to."""
+
+    name: str
+    zone: str
+    url: str
+
+
 class QueryError(msgspec.Struct, kw_only=True):
     """An error in place of an answer.
 
     ``not_run`` is true only where it is certain that the request ran nowhere.
+    ``entries`` tells which entries to use where this one is in a zone out of service.
     """
 
     request_id: str
@@ -91,14 +106,7 @@
     not_run: bool
     retry_after_s: float | None = None
     coverage: Coverage | None = None
-
-
-class EntryAddress(msgspec.Struct, frozen=True):
-    """An entry that a caller may connect to."""
-
-    name: str
-    zone: str
-    url: str
+    entries: list[EntryAddress] = []
 
 
 class EntriesAnswer(msgspec.Struct, kw_only=True):
