Keep libcurl's connections through quiet moments

Cause: libcurl's cache holds four connections for each request outstanding at that moment; an aggregator that is nearly idle closes the connections to most of its backend servers, and each new one costs the connection time. Change: the cache's size is fixed.

--- a/fighinge/curl.py
+++ b/fighinge/curl.py
@@ -5,11 +5,21 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+MAX_KEPT_CONNECTIONS = 2048
 UNSENT_CODES = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
 
 class CurlClient(CurlAsyncHTTPClient):
-    """A client that may be closed while requests are outstanding."""
+    """A client that keeps its connections and may be closed while requests are outstanding.
+
+    By itself libcurl keeps four connections for each request that is outstanding at the moment
+    and closes the rest, so that a quiet moment costs most of them.
+    """
+
+    def initialize(self, max_clients: int = 10, defaults: dict | None = None) -> None:
+        """Set up the client."""
+        super().initialize(max_clients, defaults)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_KEPT_CONNECTIONS)
 
     def _handle_timeout(self) -> None:
         if self._multi is not None:
