Leave the headers of backend servers' responses undecoded

Cause: tornado's curl client decodes each header line into a map, 0.68 of 6.5 s of an aggregator's busy time under a profiler; nothing reads it. Change: the header callback of calls to backend servers does nothing.

--- a/fighinge/aggregator/http_client.py
+++ b/fighinge/aggregator/http_client.py
@@ -10,7 +10,7 @@
 from tornado.httpclient import HTTPRequest
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
-from fighinge.curl import UNSENT_CODES, create_client, refuse_rewind
+from fighinge.curl import UNSENT_CODES, create_client, ignore_headers, refuse_rewind
 from fighinge.messages import (
     BackendAnswer,
     BackendCancel,
@@ -72,6 +72,7 @@
             _url(address, "/v1/state"),
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=timeout_s,
+            prepare_curl_callback=ignore_headers,
         )
         response = await self._fetch(request)
         if isinstance(response, CallFailure):
@@ -88,7 +89,7 @@
             headers=JSON_HEADERS,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
-            prepare_curl_callback=refuse_rewind,
+            prepare_curl_callback=_prepare,
         )
         return await self._fetch(request)
 
@@ -99,6 +100,11 @@
             return _failure(error)
 
 
+def _prepare(curl: pycurl.Curl) -> None:
+    refuse_rewind(curl)
+    ignore_headers(curl)
+
+
 def _url(address: Address, path: str) -> str:
     return f"http://{address.host}:{address.port}{path}"
 
--- a/fighinge/curl.py
+++ b/fighinge/curl.py
@@ -40,5 +40,14 @@
     curl.setopt(pycurl.SEEKFUNCTION, _fail_seek)
 
 
+def ignore_headers(curl: pycurl.Curl) -> None:
+    """Spare the decoding of response headers that nobody reads."""
+    curl.setopt(pycurl.HEADERFUNCTION, _ignore)
+
+
+def _ignore(_line: bytes) -> None:
+    return None
+
+
 def _fail_seek(_offset: int, _origin: int) -> int:
     return pycurl.SEEKFUNC_FAIL
