Let every process tell operators what it believes

GET /v1/status on a process's gossip port over TCP gives its configuration, members, zones, groups owned, cold backend servers, quarantined queries and datagram counts; /metrics beside it lets aggregators be scraped.

--- a/fighinge/cmd/aggregator.py
+++ b/fighinge/cmd/aggregator.py
@@ -49,6 +49,7 @@
         policy=Policy.named(settings.aggregator_policy),
     )
     node.store.listen(lambda accepted: service.configure(accepted.document))
+    node.status.set_cold(lambda: _cold(service))
     admitted = AdmittedSubQueries(service, node.admission)
     server = StreamServer(admitted)
     node.start()
@@ -69,6 +70,11 @@
     logger.info("aggregator stopped")
 
 
+def _cold(service: AggregatorService) -> list[str]:
+    servers = {name: server for group in service.groups() for name, server in group.servers.items()}
+    return [name for name, server in servers.items() if server.cold_start.is_cold]
+
+
 def main() -> None:
     """Run the command."""
     defopt.run(aggregator)
--- a/fighinge/membership/fleet.py
+++ b/fighinge/membership/fleet.py
@@ -77,6 +77,10 @@
             for host, zone, _ in self._in_work(Role.AGGREGATOR)
         ]
 
+    def zone_share(self, zone: str) -> float:
+        """Return the share of its work that a zone has got back."""
+        return self._returns.share(zone)
+
     def aggregator_address(self, name: str) -> str:
         """Return where an aggregator listens."""
         return f"{name}:{self._ports.aggregator}"
--- a/fighinge/membership/messages.py
+++ b/fighinge/membership/messages.py
@@ -97,7 +97,7 @@
 
     digest: Digest
     chunk: Sequence
-    chunks: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+    chunks: Annotated[int, msgspec.Meta(ge=1, le=16_384)]
     content: Annotated[bytes, msgspec.Meta(max_length=MAX_CHUNK_BYTES)]
 
 
--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -106,6 +106,11 @@
         board.listen(self._pass_on)
         store.listen(lambda _accepted: self.announce())
 
+    @property
+    def address(self) -> GossipAddress:
+        """Return where this process receives datagrams."""
+        return self._ports.address(self.table.me.role, self.table.me.host)
+
     async def run(self) -> None:
         """Take part until the task is cancelled."""
         await self._transport.open(self.receive)
@@ -121,7 +126,7 @@
     def set_seeds(self, hosts: list[str]) -> None:
         """Take the hosts whose processes are asked to let this one take part."""
         self._seeds = {self._ports.address(role, host) for host in hosts for role in Role}
-        self._seeds.discard(self._ports.address(self.table.me.role, self.table.me.host))
+        self._seeds.discard(self.address)
 
     def announce(self) -> None:
         """Tell some members at once which configuration version is in force."""
--- a/fighinge/process.py
+++ b/fighinge/process.py
@@ -26,6 +26,7 @@
 from fighinge.membership.zone_return import ZoneReturns
 from fighinge.pauses import PauseWatch
 from fighinge.settings import Settings, read_settings
+from fighinge.status import StatusSource, create_status_server
 from fighinge.stop import StopRequest
 
 if TYPE_CHECKING:
@@ -51,6 +52,8 @@
         "pauses",
         "platform",
         "settings",
+        "status",
+        "status_server",
         "stop_request",
         "store",
     )
@@ -78,13 +81,20 @@
             settings.keep_s,
             clock,
         )
+        self.status = StatusSource(self.membership, self.store, self.board, self.fleet, clock)
+        self.status_server = create_status_server(self.status)
         self.admission = Admission(
             settings.zone, self.store, self.membership.spread, self.pauses, clock
         )
 
     def start(self) -> None:
-        """Take part in the fleet and follow the platform."""
+        """Take part in the fleet and follow the platform.
+
+        :raises OSError: if the address for operators is taken
+        """
         clock = asyncio.get_running_loop().time
+        me = self.membership.address
+        self.status_server.listen(me.port, me.host)
         watcher = ConfigurationWatcher(
             self.platform, self.store, self.membership, clock, self._random
         )
@@ -109,6 +119,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self.status_server.stop()
         self.platform.close()
         if self.failed:
             sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/fighinge/status.py
@@ -0,0 +1,176 @@
+"""What one process believes, for operators to look at and compare."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import prometheus_client
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from fighinge.facts import FactKind
+from fighinge.groups import GroupMap
+from fighinge.membership.member import Role
+from fighinge.ownership import owner_order, zone_in_service
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fighinge.configuration.store import ConfigurationStore
+    from fighinge.facts import FactBoard
+    from fighinge.membership.fleet import Fleet
+    from fighinge.membership.service import Membership
+
+IDLE_TIMEOUT_S = 10.0
+
+
+class MemberView(msgspec.Struct):
+    """What a process believes of a member."""
+
+    name: str
+    zone: str
+    state: str
+    incarnation: int
+    leaving: bool
+    overloaded: bool
+
+
+class ZoneView(msgspec.Struct):
+    """What a process believes of a zone; ``share`` grows to 1 while it is brought back."""
+
+    in_service: bool
+    share: float
+
+
+class ProcessView(msgspec.Struct, kw_only=True):
+    """What a process believes of itself and the fleet."""
+
+    name: str
+    zone: str
+    incarnation: int
+    leaving: bool
+    configuration_version: int
+    configuration_digest: str
+    configuration_confirmed: bool
+    members: list[MemberView]
+    zones: dict[str, ZoneView]
+    groups_owned: list[str]
+    cold: list[str]
+    quarantined: list[str]
+    ignored_datagrams: dict[str, int]
+    sent_datagrams: int
+    sent_bytes: int
+
+
+class StatusSource:
+    """Collects the view of a process."""
+
+    __slots__ = ("_board", "_clock", "_cold", "_fleet", "_membership", "_store")
+
+    def __init__(
+        self,
+        membership: Membership,
+        store: ConfigurationStore,
+        board: FactBoard,
+        fleet: Fleet,
+        clock: Callable[[], float],
+    ) -> None:
+        self._membership = membership
+        self._store = store
+        self._board = board
+        self._fleet = fleet
+        self._clock = clock
+        self._cold: Callable[[], list[str]] = list
+
+    def set_cold(self, cold: Callable[[], list[str]]) -> None:
+        """Take what names the backend servers that this aggregator holds cold."""
+        self._cold = cold
+
+    def view(self) -> ProcessView:
+        """Return the present view."""
+        table = self._membership.table
+        return ProcessView(
+            name=table.me.name,
+            zone=table.me.zone,
+            incarnation=table.me.incarnation,
+            leaving=table.me.leaving,
+            configuration_version=self._store.version,
+            configuration_digest=self._store.digest.hex(),
+            configuration_confirmed=self._membership.spread.confirmed,
+            members=[
+                MemberView(
+                    member.name,
+                    member.zone,
+                    member.state.name.lower(),
+                    member.incarnation,
+                    member.leaving,
+                    member.overloaded,
+                )
+                for member in sorted(table.members(), key=lambda member: member.name)
+            ],
+            zones=self._zones(),
+            groups_owned=self._groups_owned(),
+            cold=sorted(self._cold()),
+            quarantined=self._quarantined(),
+            ignored_datagrams=dict(self._membership.ignored),
+            sent_datagrams=self._membership.sent_datagrams,
+            sent_bytes=self._membership.sent_bytes,
+        )
+
+    def _zones(self) -> dict[str, ZoneView]:
+        if self._store.accepted is None:
+            return {}
+        document = self._store.accepted.document
+        views = {}
+        for zone in document.zones:
+            in_service = zone_in_service(document, zone)
+            share = self._fleet.zone_share(zone) if in_service else 0.0
+            views[zone] = ZoneView(in_service, share)
+        return views
+
+    def _groups_owned(self) -> list[str]:
+        me = self._membership.table.me
+        if self._store.accepted is None or me.role is not Role.AGGREGATOR:
+            return []
+        document, candidates = self._store.accepted.document, self._fleet.aggregators()
+        return sorted(
+            group.name
+            for group in GroupMap.from_document(document).groups.values()
+            if owner_order(group, document, candidates)[:1] == [me.host]
+        )
+
+    def _quarantined(self) -> list[str]:
+        facts = self._board.current(self._clock())
+        return sorted({fact.key for fact in facts if fact.kind is FactKind.QUARANTINE})
+
+
+class StatusHandler(RequestHandler):
+    """``GET /v1/status``"""
+
+    def initialize(self, source: StatusSource) -> None:
+        """Take what the application hands to each request."""
+        self._source = source
+
+    def get(self) -> None:
+        """Write the view of the process."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(self._source.view()))
+
+
+class MetricsHandler(RequestHandler):
+    """``GET /metrics`` in the format of Prometheus."""
+
+    def get(self) -> None:
+        """Write every metric of the process."""
+        self.set_header("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
+        self.finish(prometheus_client.generate_latest())
+
+
+def create_status_server(source: StatusSource) -> HTTPServer:
+    """Return the operators' HTTP server of a process, not yet listening."""
+    application = Application(
+        [(r"/v1/status", StatusHandler, {"source": source}), (r"/metrics", MetricsHandler)],
+        log_function=lambda _handler: None,
+    )
+    return HTTPServer(application, idle_connection_timeout=IDLE_TIMEOUT_S)
