Judge patches in the order of publication and settle disputed versions

Order by key let a patch that was published later, under a lower key, change what had been accepted: processes that read between the two differed for good. In the order of publication no later value changes an earlier verdict. A version that still has two documents (a restored platform, rewritten keys) is settled between peers: a document that is relied on stays, else the lower digest wins. Acceptance goes on from its last result instead of applying all patches again. Bases and patches may come in parts that count only whole.

--- a/fighinge/configuration/confirmation.py
+++ b/fighinge/configuration/confirmation.py
@@ -4,6 +4,7 @@
 
 PEER_WAIT_S = 1.0
 NEWER_WAIT_S = 5.0
+DISPUTE_WAIT_S = 1.0
 
 
 class Confirmation:
@@ -15,10 +16,18 @@
     silence of platform and peers changes that.
     """
 
-    __slots__ = ("_confirmed", "_newest", "_newest_s", "_peer_version", "_platform_read_s")
+    __slots__ = (
+        "_confirmed",
+        "_disputed_s",
+        "_newest",
+        "_newest_s",
+        "_peer_version",
+        "_platform_read_s",
+    )
 
     def __init__(self) -> None:
         self._confirmed = False
+        self._disputed_s = -DISPUTE_WAIT_S
         self._newest = 0
         self._newest_s = 0.0
         self._peer_version = 0
@@ -34,6 +43,10 @@
         if confirmed:
             self._peer_version = max(self._peer_version, version)
 
+    def disputed(self, now_s: float) -> None:
+        """Note that a peer has another document of the same version."""
+        self._disputed_s = now_s
+
     def platform(self, now_s: float) -> None:
         """Note a read of all that is published."""
         if self._platform_read_s is None:
@@ -53,6 +66,8 @@
         return self._confirmed
 
     def _is_enough(self, version: int, now_s: float) -> bool:
+        if now_s - self._disputed_s < DISPUTE_WAIT_S:
+            return False
         if version < self._newest and now_s - self._newest_s < NEWER_WAIT_S:
             return False
         if 0 < self._peer_version <= version:
--- a/fighinge/configuration/history.py
+++ b/fighinge/configuration/history.py
@@ -99,12 +99,13 @@
 def accept(
     values: Mapping[str, msgspec.Raw], earlier: Acceptance | None = None
 ) -> Acceptance | Failure:
-    """Apply the published patches to the published base, in the order of their keys.
+    """Apply the published patches to the published base, in the order of publication.
 
     A patch on another version than the one reached, or with an invalid result, is refused;
     later patches are judged on their own. Patches on versions before the base are passed
     over. Where parts are missing everything before them counts.
 
+    :param values: what is published, in the order of publication
     :param earlier: an earlier result, which saves applying the same patches again
     """
     base_text = _decode_base(values)
@@ -211,7 +212,7 @@
 
 
 def _decode_patches(values: Mapping[str, msgspec.Raw]) -> list[tuple[str, Patch | Failure]]:
-    keys = sorted(key for key in values if key.startswith(PATCH_PREFIX))
+    keys = [key for key in values if key.startswith(PATCH_PREFIX)]
     return [(key, _decode_patch(bytes(values[key]), values)) for key in keys]
 
 
--- a/fighinge/configuration/spread.py
+++ b/fighinge/configuration/spread.py
@@ -30,6 +30,7 @@
 CHUNKS_PER_REQUEST = 8
 CHUNKS_PER_S = 200.0
 PULL_INTERVAL_S = 0.2
+SOURCE_KEPT_S = 5.0
 TRANSFER_DIGEST_BYTES = 8
 MAX_TRANSFER_BYTES = 64 * 1024 * 1024
 
@@ -41,6 +42,14 @@
         """Send a message to a member."""
 
 
+class Source(msgspec.Struct, frozen=True):
+    """A peer that has a version which is wanted here."""
+
+    member: Member
+    version: int
+    heard_s: float
+
+
 class Download:
     """The chunks of one transfer that have arrived."""
 
@@ -89,24 +98,24 @@
         "_budget_s",
         "_clock",
         "_download",
+        "_is_disputed",
         "_packed",
         "_sender",
         "_sources",
         "_store",
         "confirmation",
-        "on_conflict",
     )
 
     def __init__(
         self, store: ConfigurationStore, sender: PeerSender, clock: Callable[[], float]
     ) -> None:
         self.confirmation = Confirmation()
-        self.on_conflict: Callable[[], None] = lambda: None
         self._store = store
         self._sender = sender
         self._clock = clock
-        self._sources: dict[str, tuple[Member, int]] = {}
+        self._sources: dict[str, Source] = {}
         self._download: Download | None = None
+        self._is_disputed = False
         self._packed: tuple[int, bytes, bytes] | None = None
         self._budget = CHUNKS_PER_S
         self._budget_s = clock()
@@ -122,15 +131,32 @@
 
     def heard(self, member: Member, mark: ConfigurationMark) -> None:
         """Take what a peer tells of its version and start to pull a newer one."""
+        is_disputed = mark.version == self._store.version and mark.digest != self._store.digest
+        if is_disputed:
+            self._dispute(member, mark)
+            return
         self.confirmation.peer(mark.version, self._clock(), confirmed=mark.confirmed)
         if mark.version > self._store.version:
-            is_first = not self._sources
-            self._sources[member.name] = (member, mark.version)
-            if is_first:
-                self._pull(member)
-        elif mark.version == self._store.version and mark.digest != self._store.digest:
+            self._add_source(member, mark.version)
+
+    def _dispute(self, member: Member, mark: ConfigurationMark) -> None:
+        """Settle which of two documents of one version stays.
+
+        That of a process that relies on it stays against that of one that does not yet; else
+        the lower digest decides, alike everywhere.
+        """
+        is_mine_kept = self.confirmed and (not mark.confirmed or self._store.digest < mark.digest)
+        self.confirmation.disputed(self._clock())
+        if mark.version > 0 and mark.confirmed and not is_mine_kept:
             logger.warning("{} has another document as version {}", member.name, mark.version)
-            self.on_conflict()
+            self._is_disputed = True
+            self._add_source(member, mark.version)
+
+    def _add_source(self, member: Member, version: int) -> None:
+        is_first = not self._sources
+        self._sources[member.name] = Source(member, version, self._clock())
+        if is_first:
+            self._pull(member)
 
     def requested(self, member: Member, request: ConfigurationRequest) -> None:
         """Serve chunks to a peer, within the budget of this process."""
@@ -168,19 +194,23 @@
                 name = next(iter(self._sources))
                 source = self._sources.pop(name)
                 self._sources[name] = source
-                self._pull(source[0])
+                self._pull(source.member)
 
     def _pull(self, member: Member) -> None:
         digest, first = b"", 0
         if self._download is not None:
             digest, first = self._download.digest, self._download.first_missing
-        request = ConfigurationRequest(self._store.version, digest, first)
+        after_version = 0 if self._is_disputed else self._store.version
+        request = ConfigurationRequest(after_version, digest, first)
         self._sender.send(member, request)
 
     def _finish(self, member: Member, download: Download) -> None:
         self._download = None
         transfer = download.content()
-        failure = self._store.take_transfer(transfer, member.name) if transfer else None
+        failure = None
+        if transfer is not None:
+            replaces, self._is_disputed = self._is_disputed, False
+            failure = self._store.take_transfer(transfer, member.name, replaces=replaces)
         if transfer is None or isinstance(failure, Failure):
             reason = failure.reason if failure else "broken transfer"
             logger.warning("configuration from {} ignored: {}", member.name, reason)
@@ -188,12 +218,16 @@
         self._drop_old_sources()
 
     def _drop_old_sources(self) -> None:
-        version = self._store.version
+        wanted_from = self._store.version + (not self._is_disputed)
+        heard_from_s = self._clock() - SOURCE_KEPT_S
         self._sources = {
-            name: source for name, source in self._sources.items() if source[1] > version
+            name: source
+            for name, source in self._sources.items()
+            if source.version >= wanted_from and source.heard_s >= heard_from_s
         }
         if not self._sources:
             self._download = None
+            self._is_disputed = False
 
     def _pack(self, after_version: int) -> bytes | None:
         """Return a transfer as it is sent, kept while peers ask for the same one."""
--- a/fighinge/configuration/store.py
+++ b/fighinge/configuration/store.py
@@ -75,7 +75,9 @@
 
         :returns: why nothing that was published can be in force
         """
-        self._values.update(values.values)
+        for key, value in values.values.items():
+            self._values.pop(key, None)
+            self._values[key] = value
         acceptance = accept(self._values, self._acceptance)
         if isinstance(acceptance, Failure):
             logger.warning("configuration refused: {} {}", acceptance.field, acceptance.reason)
@@ -84,10 +86,11 @@
         for refused in acceptance.refused:
             self._log_refused(refused.key, refused.failure)
         accepted = acceptance.accepted
-        differs = accepted.version == self.version and accepted.digest != self.digest
-        if accepted.version > self.version or differs:
+        if accepted.version > self.version:
             self._keep_steps(acceptance.steps)
             self._put_in_force(accepted, "published")
+        elif accepted.version == self.version and accepted.digest != self.digest:
+            logger.warning("version {} is published with another document", self.version)
         return None
 
     def transfer(self, after_version: int) -> Transfer | None:
@@ -100,12 +103,15 @@
             return Transfer(self.version, self.digest, operations)
         return Transfer(self.version, self.digest, document=self.accepted.raw)
 
-    def take_transfer(self, transfer: Transfer, peer: str) -> Failure | None:
+    def take_transfer(
+        self, transfer: Transfer, peer: str, *, replaces: bool = False
+    ) -> Failure | None:
         """Take a peer's configuration if it is newer and what it claims to be.
 
+        :param replaces: whether another document of the same version is taken too
         :returns: why the transfer is of no use
         """
-        if transfer.version <= self.version:
+        if transfer.version < self.version + (not replaces):
             return None
         accepted, steps = self._result_of(transfer)
         if isinstance(accepted, Failure):
--- a/fighinge/configuration/watcher.py
+++ b/fighinge/configuration/watcher.py
@@ -42,7 +42,6 @@
         "_failures",
         "_membership",
         "_random",
-        "_read_all",
         "_revision",
         "_service",
         "_store",
@@ -63,8 +62,6 @@
         self._random = random_source
         self._revision = 0
         self._failures = 0
-        self._read_all = asyncio.Event()
-        membership.spread.on_conflict = self._read_all.set
 
     async def run(self) -> None:
         """Read for as long as the task runs."""
@@ -111,17 +108,8 @@
         self._store.forget_published()
 
     async def _pause(self) -> None:
-        """Wait until the next read is due, less long where another document was heard of."""
-        pause_s = self._pause_s() * (0.75 + 0.5 * self._random.random())
-        try:
-            async with asyncio.timeout(pause_s):
-                await self._read_all.wait()
-        except TimeoutError:
-            return
-        members = len(self._membership.table.members())
-        await asyncio.sleep(spare_interval_s(members, SPARE_READS_PER_S))
-        self._read_all.clear()
-        self._start_over()
+        """Wait until the next read is due."""
+        await asyncio.sleep(self._pause_s() * (0.75 + 0.5 * self._random.random()))
 
     def _pause_s(self) -> float:
         table = self._membership.table
--- a/standins/datagrams.py
+++ b/standins/datagrams.py
@@ -48,9 +48,11 @@
     def __init__(self, network: DatagramNetwork, address: GossipAddress) -> None:
         self._network = network
         self._address = address
+        self._receive: Callable[[bytes, str], None] | None = None
 
     async def open(self, receive: Callable[[bytes, str], None]) -> None:
         """Start to receive."""
+        self._receive = receive
         self._network.receivers[self._address] = receive
 
     def send(self, data: bytes, address: GossipAddress) -> None:
@@ -59,4 +61,5 @@
 
     def close(self) -> None:
         """Stop to receive."""
-        self._network.receivers.pop(self._address, None)
+        if self._network.receivers.get(self._address) is self._receive:
+            del self._network.receivers[self._address]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -100,6 +100,8 @@
     def _changes(self, prefix: str, after_revision: int) -> dict[str, msgspec.Raw]:
         return {
             key: value
-            for key, (revision, value) in self._shown[1].items()
+            for key, (revision, value) in sorted(
+                self._shown[1].items(), key=lambda item: item[1][0]
+            )
             if key.startswith(prefix) and revision > after_revision
         }
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -29,6 +29,8 @@
         self.clock = asyncio.get_running_loop().time
         self.board = FactBoard()
         self.store = ConfigurationStore()
+        self.versions: list[int] = []
+        self.store.listen(lambda accepted: self.versions.append(accepted.version))
         self.transport = NetworkTransport(network, PORTS.address(me.role, me.host))
         self.membership = Membership(
             me,
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,141 @@
+"""Tests of which configuration version follows from what is published."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+import pytest
+
+from fighinge.configuration.history import (
+    BASE_KEY,
+    PART_PREFIX,
+    PATCH_PREFIX,
+    Acceptance,
+    accept,
+    apply_patch,
+)
+from fighinge.errors import ErrorKind, Failure
+from tests.builders import raw_document
+from tests.fleets import base_values, zone_patch
+
+
+def _encoded(value) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(value))
+
+
+def _patch(applies_to, *operations) -> msgspec.Raw:
+    return _encoded({"applies_to": applies_to, "operations": list(operations)})
+
+
+def _published(*patches) -> dict[str, msgspec.Raw]:
+    values = dict(base_values().values)
+    for number, patch in enumerate(patches):
+        values[f"{PATCH_PREFIX}{number:08d}"] = patch
+    return values
+
+
+OUT = {"op": "add", "path": "/zones/z1/in_service", "value": False}
+BACK = {"op": "add", "path": "/zones/z1/in_service", "value": True}
+
+
+@pytest.mark.parametrize(
+    ("patches", "version", "field"),
+    [
+        ([_patch(1, OUT)], 2, None),
+        ([_patch(1, OUT), _patch(2, BACK)], 3, None),
+        ([_patch(2, OUT)], 1, "applies_to"),
+        ([_patch(1, OUT), _patch(1, BACK)], 2, "applies_to"),
+        ([_patch(1, {"op": "remove", "path": "/zones/z9"})], 1, "operations"),
+        ([_patch(1, {"op": "add", "path": "/zones/z1/colour", "value": 1})], 1, "zones[...]"),
+        ([_patch(1, {"op": "jump"})], 1, "operations"),
+        ([_encoded({"applies_to": 1, "operations": 7})], 1, "operations"),
+        ([_encoded("no patch")], 1, ""),
+        ([_patch(1, {"op": "jump"}), _patch(1, OUT)], 2, "operations"),
+        ([_patch(0, OUT), _patch(1, OUT)], 2, None),
+    ],
+)
+def test_patches_are_accepted_or_refused(patches, version, field):
+    values = _published(*patches)
+    acceptance = accept(values)
+    assert acceptance.accepted.version == version
+    assert [refused.failure.field for refused in acceptance.refused] == (
+        [field] if field is not None else []
+    )
+    assert all(refused.failure.reason for refused in acceptance.refused)
+
+
+def test_going_on_from_an_earlier_result_changes_nothing():
+    patches = [_patch(1, OUT), _patch(7, OUT), _patch(2, BACK), _patch(3, OUT)]
+    acceptance = None
+    for count in range(len(patches) + 1):
+        values = _published(*patches[:count])
+        acceptance = accept(values, acceptance)
+        assert acceptance == accept(values)
+
+
+def test_order_of_publication_decides():
+    base = dict(base_values().values)
+    first, second = {f"{PATCH_PREFIX}2": _patch(1, OUT)}, {f"{PATCH_PREFIX}1": _patch(1, BACK)}
+    assert accept(base | first | second).accepted == accept(base | first).accepted
+
+
+def test_republished_patch_is_judged_anew():
+    first = accept(_published(_patch(1, OUT), _patch(2, BACK)))
+    values = _published(_patch(5, OUT), _patch(1, BACK))
+    assert accept(values, first) == accept(values)
+
+
+def test_new_base_passes_over_earlier_patches():
+    values = _published(_patch(1, OUT), _patch(2, BACK))
+    values |= base_values(version=9).values
+    values[f"{PATCH_PREFIX}00000009"] = _patch(9, OUT)
+    acceptance = accept(values)
+    assert (acceptance.accepted.version, acceptance.refused) == (10, ())
+
+
+@pytest.mark.parametrize(
+    ("change", "kind"),
+    [
+        (lambda values: None, None),
+        (lambda values: values.pop(f"{PART_PREFIX}4/1"), ErrorKind.NOT_READY),
+        (lambda values: values.update({f"{PART_PREFIX}4/1": _encoded("old")}), ErrorKind.NOT_READY),
+        (lambda values: values.update({f"{PART_PREFIX}4/1": _encoded(5)}), ErrorKind.BAD_REQUEST),
+    ],
+)
+def test_base_in_parts_is_taken_only_whole(change, kind):
+    text = msgspec.json.encode(raw_document()).decode()
+    middle = len(text) // 2
+    keys = [f"{PART_PREFIX}4/0", f"{PART_PREFIX}4/1"]
+    digest = hashlib.sha256(text.encode()).hexdigest()
+    values = {
+        BASE_KEY: _encoded({"version": 4, "parts": keys, "sha256": digest}),
+        keys[0]: _encoded(text[:middle]),
+        keys[1]: _encoded(text[middle:]),
+    }
+    change(values)
+    result = accept(values)
+    if kind is None:
+        assert result.accepted.raw == text.encode()
+    else:
+        assert isinstance(result, Failure)
+        assert result.kind is kind
+
+
+def test_patch_whose_parts_are_missing_waits_and_so_do_those_after_it():
+    operations = msgspec.json.encode([OUT]).decode()
+    digest = hashlib.sha256(operations.encode()).hexdigest()
+    in_parts = _encoded({"applies_to": 1, "parts": [f"{PART_PREFIX}2/0"], "sha256": digest})
+    values = _published(in_parts, _patch(2, BACK))
+    waiting = accept(values)
+    assert waiting.accepted.version == 1
+    values[f"{PART_PREFIX}2/0"] = _encoded(operations)
+    assert accept(values, waiting).accepted.version == 3
+
+
+def test_patch_is_checked_like_a_published_one():
+    accepted = accept(base_values().values).accepted
+    raw = bytes(next(iter(zone_patch(1).values.values())))
+    assert apply_patch(accepted, raw).version == 2
+    assert isinstance(accept({}), Failure)
+    assert isinstance(accept(base_values().values), Acceptance)
