--- a/standins/backend.py
+++ b/standins/backend.py
@@ -41,7 +41,9 @@
 class StandinServer:
     """One backend server with slots, a short queue, warmth and an identity.
 
-    Keeps time by the running event loop, so that it also runs in virtual time.
+    Keeps time by the running event loop, so that it also runs in virtual time. Whoever records
+    a history sets ``observe_arrival`` and ``observe_run``; the latter also gets the index
+    version that is served.
     """
 
     def __init__(self, name: str, document: Document, seed: int) -> None:
@@ -53,6 +55,8 @@
         self.slots = document.backend_servers[name].slots
         self.in_flight = 0
         self.drop_connections: Callable[[], None] = lambda: None
+        self.observe_arrival: Callable[[BackendRequest], None] = lambda _request: None
+        self.observe_run: Callable[[BackendRequest, int], None] = lambda _request, _version: None
         self._random = random.Random(f"{name}/{seed}")
         self._running: dict[str, asyncio.Task] = {}
         self._free = asyncio.Semaphore(self.slots)
@@ -119,6 +123,7 @@
             raise NotListening(self.name)
         process_id = self.process_id
         self.counters.searches += 1
+        self.observe_arrival(request)
         await self._travel()
         self._drop_if_at("accept")
         refusal = self._refusal(request)
@@ -175,7 +180,7 @@
         now_s = _now_s()
         if now_s < self._fallen_until_s:
             return True
-        if self.is_cold and self.in_flight >= self._bearable():
+        if self.is_cold and self.in_flight >= self.bearable():
             self.counters.overloaded_moments += 1
             self._fallen_until_s = now_s + self.behaviour.fall_over_s
             self.turn_cold()
@@ -184,7 +189,7 @@
             return True
         return self.behaviour.shed_share > self._random.random()
 
-    def _bearable(self) -> int:
+    def bearable(self) -> int:
         """Return how many calls at once a cold server bears; it grows with work done."""
         done = self.behaviour.warm_calls - self._calls_until_warm
         return 1 + self.slots * done // max(1, self.behaviour.warm_calls)
@@ -215,6 +220,8 @@
                 self.counters.past_deadline += 1
                 return BackendRefusal(self.process_id, "deadline", self.state())
             self.counters.starts_while_out += self.behaviour.out
+            served = self.behaviour.serves_index_version or request.index_version
+            self.observe_run(request, served)
             executions = self.counters.executions
             executions[request.request_id] = executions.get(request.request_id, 0) + 1
             seconds = self._service_s()
