--- a/fighinge/aggregator/replica_group.py
+++ b/fighinge/aggregator/replica_group.py
@@ -9,6 +9,7 @@
 
 from fighinge.aggregator.attempts import UNWANTED, BundleRun
 from fighinge.aggregator.base import CallFailure, CallFault
+from fighinge.aggregator.group_status import group_status
 from fighinge.aggregator.hedging import HedgeDelay
 from fighinge.aggregator.metrics import QueryMetrics
 from fighinge.errors import ErrorKind
@@ -96,14 +97,14 @@
         return self._queue.size == 0
 
     def status(self) -> GroupStatus:
-        """Return which index versions some replica of the group serves."""
-        versions: dict[str, set[int]] = {}
-        for server in self.servers.values():
-            if not server.takes_work():
-                continue
-            for collection, held in server.index_versions.items():
-                versions.setdefault(collection, set()).update(held)
-        return GroupStatus(self.name, {name: sorted(held) for name, held in versions.items()})
+        """Return which index versions the available replicas of the group hold."""
+        now_s = self.clock()
+        held = {
+            name: server.index_versions
+            for name, server in self.servers.items()
+            if server.is_available(now_s)
+        }
+        return group_status(self.group, self._document, held)
 
     async def run(
         self, sub_query: SubQuery, shards: tuple[str, ...], deadline_s: float
