--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -9,7 +9,11 @@
 
 import msgspec
 
-from benchmarks.fleet import MeasuredFleet
+from benchmarks.fleet import MeasuredFleet, ProcessView
+from standins.platform import PlatformBehaviour
+
+POLL_S = 0.05
+MEASURE_TIMEOUT_S = 10.0
 
 Act = Callable[[MeasuredFleet, dict[str, object]], Awaitable[None]]
 
@@ -123,3 +127,71 @@
         fleet.platform.down = False
 
     return Fault(at_s, f"the platform is down for {for_s} s", act)
+
+
+def measure_spread(at_s: float, name: str) -> Fault:
+    """Publish a patch and note when the last process has it; ``one_reader`` cuts all others off."""
+
+    async def act(fleet: MeasuredFleet, notes: dict[str, object]) -> None:
+        if name == "one_reader":
+            await fleet.platform.behave(
+                PlatformBehaviour(only_reader=f"entry@{fleet.hosts[0].address}")
+            )
+        weight = {"op": "replace", "path": "/classes/batch/weight", "value": fleet.patches + 2}
+        version = await fleet.publish_patch([weight])
+
+        def is_everywhere(views: list[ProcessView]) -> bool:
+            return all(view.configuration_version >= version for view in views)
+
+        notes[f"spread_{name}_s"] = await _time_until(fleet, is_everywhere)
+
+    return Fault(at_s, f"a patch is published ({name})", act)
+
+
+def measure_agreement(at_s: float) -> Fault:
+    """Note how long it takes until all processes see the same live members."""
+
+    async def act(fleet: MeasuredFleet, notes: dict[str, object]) -> None:
+        notes["agreement_s"] = await _time_until(fleet, _agree)
+
+    return Fault(at_s, "wait until all views agree", act)
+
+
+def _agree(views: list[ProcessView]) -> bool:
+    alive = [
+        {member.name for member in view.members if member.state == "alive"} | {view.name}
+        for view in views
+    ]
+    return all(seen == alive[0] and len(seen) == len(views) for seen in alive)
+
+
+async def _time_until(
+    fleet: MeasuredFleet, holds: Callable[[list[ProcessView]], bool]
+) -> float | None:
+    """Return after how many seconds something held in all processes, none if it did not."""
+    started_s = time.monotonic()
+    while time.monotonic() - started_s < MEASURE_TIMEOUT_S:
+        views = await fleet.views()
+        if len(views) == len(fleet.processes) and holds(views):
+            return round(time.monotonic() - started_s, 3)
+        await asyncio.sleep(POLL_S)
+    return None
+
+
+def watch_zone(at_s: float, zone: str, for_s: float) -> Fault:
+    """Note when the last new work started on a zone's backend servers."""
+
+    async def act(fleet: MeasuredFleet, notes: dict[str, object]) -> None:
+        servers = fleet.servers_in(zone)
+        started_s = time.monotonic()
+        last_s, seen = 0.0, -1
+        while time.monotonic() - started_s < for_s:
+            counters = await fleet.counters()
+            count = sum(counters[name].searches for name in servers)
+            if count != seen and seen >= 0:
+                last_s = time.monotonic() - started_s
+            seen = count
+            await asyncio.sleep(POLL_S)
+        notes["last_new_work_s"] = round(last_s, 2)
+
+    return Fault(at_s, f"new work at {zone} is watched", act)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -25,10 +25,27 @@
     from fighinge.configuration.base import HostEntry
 
 FIRST_CONTROL_PORT = 8900
+STATUS_PORTS = {"entry": 8060, "aggregator": 8061}
 START_TIMEOUT_S = 15.0
 CONTROL_TIMEOUT_S = 10.0
 
 
+class MemberView(msgspec.Struct):
+    """A member as a process sees it."""
+
+    name: str
+    state: str
+
+
+class ProcessView(msgspec.Struct):
+    """As much of a process's status as is measured."""
+
+    name: str
+    configuration_version: int
+    members: list[MemberView]
+    sent_bytes: int
+
+
 class MeasuredFleet(Fleet):
     """A fleet whose backend servers run in processes of their own."""
 
@@ -160,6 +177,20 @@
         ]
         return read_usage(pids)
 
+    async def views(self) -> list[ProcessView]:
+        """Return what each process believes, those that do not answer left out."""
+        urls = [
+            f"http://{address}:{STATUS_PORTS[role]}/v1/status" for role, address in self.processes
+        ]
+        answers = await asyncio.gather(
+            *(self._http.fetch(url, request_timeout=1.0) for url in urls), return_exceptions=True
+        )
+        return [
+            msgspec.json.decode(answer.body, type=ProcessView)
+            for answer in answers
+            if not isinstance(answer, BaseException)
+        ]
+
     async def publish_patch(self, operations: list[dict]) -> int:
         """Publish a patch as an operator does and return the version that it makes."""
         self.patches += 1
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -14,10 +14,11 @@
     """How the platform serves readers.
 
     ``stale`` serves the values as they were when it was set; the host list shows a change only
-    after ``host_lag_s``.
+    after ``host_lag_s``. ``only_reader`` names the one reader that is not refused.
     """
 
     down: bool = False
+    only_reader: str = ""
     stale: bool = False
     slow_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     host_lag_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
@@ -49,6 +50,10 @@
     def down(self, down: bool) -> None:
         self.behaviour.down = down
 
+    def refuses(self, reader: str) -> bool:
+        """Return whether a reader is refused."""
+        return self.down or self.behaviour.only_reader not in ("", reader)
+
     @property
     def hosts(self) -> list[HostEntry]:
         """Return the host list as readers see it."""
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -30,10 +30,11 @@
 
     async def prepare(self) -> None:
         """Count the call, and refuse it while the platform is down."""
-        self.platform.count(self.request.headers.get("X-Reader", "?"))
+        reader = self.request.headers.get("X-Reader", "?")
+        self.platform.count(reader)
         if self.platform.behaviour.slow_s:
             await asyncio.sleep(self.platform.behaviour.slow_s)
-        if self.platform.down:
+        if self.platform.refuses(reader):
             self.send_error(503)
 
 
