Confirm the view after a pause by any peer, and test who takes new work

After a pause a process waited for a peer that relies on its version; where all processes of a fleet were paused together none did, so each waited for the platform. Any peer or a read is enough now, else 2 s of silence. Tests fix which members, entries and zones take new work, when work is refused, and that 32 processes read the platform with at most 200 calls in any second when all start, when it comes back, and while three per zone watch it.

--- a/fighinge/configuration/confirmation.py
+++ b/fighinge/configuration/confirmation.py
@@ -5,6 +5,7 @@
 PEER_WAIT_S = 1.0
 NEWER_WAIT_S = 5.0
 DISPUTE_WAIT_S = 1.0
+PAUSE_WAIT_S = 2.0
 
 
 class Confirmation:
@@ -13,7 +14,8 @@
     Enough is a peer that relies on its own version, which must not be newer, or a fresh read
     of the platform after which no such peer answers for ``PEER_WAIT_S``. A newer version that
     a peer told of has ``NEWER_WAIT_S`` to arrive. Once confirmed, neither a newer version nor
-    silence of platform and peers changes that.
+    silence of platform and peers changes that, but a pause of this process does: then any peer
+    or the platform has to be heard again, or ``PAUSE_WAIT_S`` to pass in silence.
     """
 
     __slots__ = (
@@ -21,6 +23,7 @@
         "_disputed_s",
         "_newest",
         "_newest_s",
+        "_paused_s",
         "_peer_version",
         "_platform_read_s",
     )
@@ -30,6 +33,7 @@
         self._disputed_s = -DISPUTE_WAIT_S
         self._newest = 0
         self._newest_s = 0.0
+        self._paused_s: float | None = None
         self._peer_version = 0
         self._platform_read_s: float | None = None
 
@@ -52,9 +56,11 @@
         if self._platform_read_s is None:
             self._platform_read_s = now_s
 
-    def reset(self) -> None:
+    def paused(self, now_s: float) -> None:
         """Ask for confirmation anew, after this process was paused."""
-        self._confirmed = False
+        if self._confirmed:
+            self._confirmed = False
+            self._paused_s = now_s
         self._peer_version = 0
         self._newest = 0
         self._platform_read_s = None
@@ -73,4 +79,7 @@
         if 0 < self._peer_version <= version:
             return True
         read_s = self._platform_read_s
+        if self._paused_s is not None:
+            is_heard = self._newest > 0 or read_s is not None
+            return is_heard or now_s - self._paused_s >= PAUSE_WAIT_S
         return read_s is not None and now_s - read_s >= PEER_WAIT_S
--- a/fighinge/configuration/watcher.py
+++ b/fighinge/configuration/watcher.py
@@ -63,11 +63,16 @@
         self._revision = 0
         self._failures = 0
 
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this process watches the platform for its zone."""
+        return is_reader(self._membership.table)
+
     async def run(self) -> None:
         """Read for as long as the task runs."""
         await asyncio.sleep(START_SPREAD_S * self._random.random())
         while True:
-            watches = self._revision > 0 and is_reader(self._membership.table)
+            watches = self._revision > 0 and self.is_reader
             await self.read_once(WATCH_WAIT_S if watches else 0.0)
             await self._pause()
 
@@ -116,10 +121,10 @@
         spare_s = spare_interval_s(len(table.members()), SPARE_READS_PER_S)
         if self._failures:
             retry_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2 ** min(self._failures - 1, 8))
-            return retry_s if is_reader(table) else max(retry_s, spare_s)
+            return retry_s if self.is_reader else max(retry_s, spare_s)
         if self._revision == 0:
             return FIRST_RETRY_S
-        return READER_PAUSE_S if is_reader(table) else spare_s
+        return READER_PAUSE_S if self.is_reader else spare_s
 
 
 async def follow_host_list(
--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -147,7 +147,7 @@
     def paused(self, now_s: float) -> None:
         """Ask for the view anew after this process was paused."""
         self.detector.paused(now_s)
-        self.spread.confirmation.reset()
+        self.spread.confirmation.paused(now_s)
         for member in self._some_members(ANNOUNCE_FANOUT):
             self.send(member, Ping(0))
 
--- a/standins/datagrams.py
+++ b/standins/datagrams.py
@@ -26,10 +26,12 @@
         self.blocked: Callable[[str, str], bool] = lambda _sender, _receiver: False
         self.receivers: dict[GossipAddress, Callable[[bytes, str], None]] = {}
         self.delivered = 0
+        self.largest_bytes = 0
         self._random = random.Random(seed)
 
     def deliver(self, data: bytes, sender: GossipAddress, receiver: GossipAddress) -> None:
         """Carry one datagram."""
+        self.largest_bytes = max(self.largest_bytes, len(data))
         if self.blocked(sender.host, receiver.host) or self._random.random() < self.loss:
             return
         latency_s = LATENCY_S * (0.5 + self._random.random())
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -48,3 +48,25 @@
       | in another's name | sender  |
       | of wrong content  | content |
       | too long          | format  |
+
+  Scenario Outline: membership carries facts, told by one while <loss> of the datagrams are lost
+    Given membership of 3 zones with 4 hosts each that loses <loss> of its datagrams
+    When membership is told by one process a fact that holds for <kept> s
+    Then membership knows the fact everywhere within <limit> s
+    And membership knows the fact nowhere after <gone> s
+
+    Examples:
+      | loss | kept | limit | gone |
+      | 0.0  | 5    | 1     | 6    |
+      | 0.3  | 8    | 5     | 9    |
+
+  Scenario Outline: membership keeps to its limits when <share> of <hosts> hosts crash at once
+    Given membership of 2 zones with <hosts> hosts each that loses 0.0 of its datagrams
+    When membership loses <share> of its hosts at once
+    Then membership holds only the others as alive within 30 s
+    And membership sent at most 30 datagrams and 14000 bytes a second per process
+
+    Examples:
+      | hosts | share |
+      | 10    | 0.1   |
+      | 20    | 0.5   |
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -8,8 +8,15 @@
 import looptime
 from behave import given, then, when
 
+from fighinge.facts import Fact, FactKind
 from fighinge.membership.member import Member, MemberState, Role
-from fighinge.membership.messages import Codec, ConfigurationMark, Datagram, Gossip
+from fighinge.membership.messages import (
+    MAX_DATAGRAM_BYTES,
+    Codec,
+    ConfigurationMark,
+    Datagram,
+    Gossip,
+)
 from tests.fleets import PORTS, ProcessFleet, until
 
 DEAD_INCARNATION = 2**40
@@ -173,3 +180,73 @@
 @then("membership holds all as alive within {limit:g} s")
 def all_alive(context, limit):
     on_loop(context, until(context.fleet.all_alive, limit))
+
+
+@when("membership is told by one process a fact that holds for {kept:g} s")
+def tell_fact(context, kept):
+    async def tell():
+        process = next(iter(context.fleet.processes.values()))
+        now_s = process.clock()
+        process.board.add(Fact(FactKind.QUARANTINE, "f1", "crashes", now_s + kept), now_s)
+
+    on_loop(context, tell())
+
+
+@then("membership knows the fact everywhere within {limit:g} s")
+def know_fact(context, limit):
+    on_loop(context, until(lambda: all(_facts(context)), limit))
+
+
+@then("membership knows the fact nowhere after {gone:g} s")
+def forgot_fact(context, gone):
+    on_loop(context, asyncio.sleep(gone))
+    assert not any(_facts(context))
+
+
+def _facts(context):
+    return [
+        process.board.values(FactKind.QUARANTINE, "f1", process.clock())
+        for process in context.fleet.processes.values()
+    ]
+
+
+@when("membership loses {share:g} of its hosts at once")
+def lose_hosts(context, share):
+    fleet = context.fleet
+
+    async def lose():
+        context.before = {
+            host: (
+                process.clock(),
+                process.membership.sent_datagrams,
+                process.membership.sent_bytes,
+            )
+            for host, process in fleet.processes.items()
+        }
+        for host in list(fleet.processes)[: int(len(fleet.processes) * share)]:
+            fleet.processes.pop(host).crash()
+
+    on_loop(context, lose())
+
+
+@then("membership holds only the others as alive within {limit:g} s")
+def holds_only(context, limit):
+    alive = set(context.fleet.processes)
+
+    def held():
+        return all(
+            {member.host for member in process.membership.table.reachable()} | {host} == alive
+            for host, process in context.fleet.processes.items()
+        )
+
+    on_loop(context, until(held, limit))
+
+
+@then("membership sent at most {datagrams:d} datagrams and {size:d} bytes a second per process")
+def sent_at_most(context, datagrams, size):
+    assert context.fleet.network.largest_bytes <= MAX_DATAGRAM_BYTES
+    for host, process in context.fleet.processes.items():
+        since_s, datagrams_before, bytes_before = context.before[host]
+        elapsed_s = process.clock() - since_s
+        assert (process.membership.sent_datagrams - datagrams_before) / elapsed_s <= datagrams
+        assert (process.membership.sent_bytes - bytes_before) / elapsed_s <= size
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,126 @@
+"""Tests of who takes new work: aggregators, entries and what callers are told."""
+
+from __future__ import annotations
+
+import collections
+
+import msgspec
+import pytest
+
+from fighinge.configuration.base import HostEntry
+from fighinge.facts import FactBoard
+from fighinge.membership.addresses import EntryCandidate, choose_entries
+from fighinge.membership.fleet import Fleet, Ports
+from fighinge.membership.member import Member, MemberState, Role
+from fighinge.membership.table import MemberTable
+from fighinge.membership.zone_return import RETURN_S, STEP_S, ZoneReturns, returned_share
+from fighinge.model import Document, Zone
+from tests.builders import document
+
+HOSTS = {f"10.0.{zone}.{number}": f"z{zone}" for zone in (1, 2, 3) for number in range(1, 9)}
+CALLERS = [f"caller-{number}" for number in range(4000)]
+
+
+def _document(out: tuple[str, ...] = ()) -> Document:
+    zones = {zone: Zone(in_service=zone not in out) for zone in ("z1", "z2", "z3")}
+    return msgspec.structs.replace(document(), zones=zones)
+
+
+def _candidates(hosts=HOSTS, overloaded=()) -> list[EntryCandidate]:
+    return [EntryCandidate(host, zone, host in overloaded) for host, zone in hosts.items()]
+
+
+def _first(candidates, caller, zone, out=()) -> str:
+    return choose_entries(candidates, _document(out), caller, zone)[0].host
+
+
+def _fleet(*claims: Member, now_s: float = 0.0) -> tuple[Fleet, FactBoard]:
+    table = MemberTable(Member(Role.ENTRY, "10.0.1.1", "z1", 1))
+    for claim in claims:
+        table.apply(claim, now_s, "test")
+    board = FactBoard()
+    clock = lambda: now_s  # noqa: E731
+    return Fleet(Ports(1, 2), table, board, ZoneReturns(board, clock), 10.0, clock), board
+
+
+@pytest.mark.parametrize("zone", ["z1", "z9"])
+def test_callers_spread_evenly(zone):
+    counts = collections.Counter(_first(_candidates(), caller, zone) for caller in CALLERS)
+    expected = 8 if zone == "z1" else 24
+    assert len(counts) == expected
+    assert max(counts.values()) < 1.25 * len(CALLERS) / expected
+
+
+def test_caller_is_given_two_near_entries_and_one_elsewhere():
+    zones = [entry.zone for entry in choose_entries(_candidates(), _document(), "c", "z2")]
+    assert zones[:2] == ["z2", "z2"]
+    assert zones[2] != "z2"
+
+
+def test_most_answers_stay_the_same_when_one_entry_goes():
+    hosts = dict(HOSTS)
+    del hosts["10.0.1.3"]
+    moved = sum(
+        _first(_candidates(), caller, "z1") != _first(_candidates(hosts), caller, "z1")
+        for caller in CALLERS
+    )
+    assert 0 < moved < 0.2 * len(CALLERS)
+
+
+@pytest.mark.parametrize(
+    ("hosts", "out", "overloaded", "zones"),
+    [
+        (HOSTS, ("z1",), (), {"z2", "z3"}),
+        (HOSTS, ("z1", "z2"), (), {"z3"}),
+        (HOSTS, ("z1", "z2", "z3"), (), set()),
+        (HOSTS, (), [host for host in HOSTS if HOSTS[host] == "z1"], {"z2", "z3"}),
+        (HOSTS, (), list(HOSTS), {"z1", "z2", "z3"}),
+        ({host: zone for host, zone in HOSTS.items() if zone != "z1"}, (), (), {"z2", "z3"}),
+        ({"10.0.3.1": "z3"}, (), (), {"z3"}),
+    ],
+)
+def test_entries_that_take_no_work_are_left_out(hosts, out, overloaded, zones):
+    chosen = set()
+    for caller in CALLERS[:200]:
+        entries = choose_entries(_candidates(hosts, overloaded), _document(out), caller, "z1")
+        chosen |= {entry.zone for entry in entries}
+    assert chosen == zones
+
+
+@pytest.mark.parametrize(
+    ("changes", "takes_work"),
+    [
+        ({}, True),
+        ({"state": MemberState.SUSPECT, "accuser": "x"}, True),
+        ({"state": MemberState.DEAD}, False),
+        ({"leaving": True}, False),
+    ],
+)
+def test_members_that_take_new_work(changes, takes_work):
+    alive = Member(Role.AGGREGATOR, "10.0.2.2", "z2", 5)
+    fleet, _board = _fleet(alive, msgspec.structs.replace(alive, incarnation=6, **changes))
+    assert [candidate.name for candidate in fleet.aggregators()] == ["10.0.2.2"] * takes_work
+
+
+@pytest.mark.parametrize(
+    ("members", "listed", "expected"),
+    [
+        ([], {"10.0.2.2": "live"}, ["10.0.2.2"]),
+        ([], {"10.0.2.2": "leaving"}, []),
+        (["10.0.2.2"], {}, ["10.0.2.2"]),
+        (["10.0.2.2"], {"10.0.2.2": "leaving"}, []),
+        (["10.0.2.2"], {"10.0.2.2": "live", "10.0.2.3": "live"}, ["10.0.2.2"]),
+    ],
+)
+def test_host_list_is_believed_only_about_leaving(members, listed, expected):
+    fleet, _board = _fleet(*(Member(Role.AGGREGATOR, host, "z2", 5) for host in members))
+    fleet.take([HostEntry(host, "z2", state) for host, state in listed.items()])
+    assert [candidate.name for candidate in fleet.aggregators()] == expected
+
+
+@pytest.mark.parametrize(
+    ("elapsed_s", "share"),
+    [(0.0, 0.125), (STEP_S, 0.25), (2 * STEP_S, 0.5), (RETURN_S, 1.0), (1e6, 1.0)],
+)
+def test_zone_gets_its_work_back_in_steps(elapsed_s, share):
+    assert returned_share(elapsed_s) == share
--- /dev/null
+++ b/tests/test_watcher.py
@@ -0,0 +1,160 @@
+"""Tests of how often processes read the platform, and of what they make of it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import looptime
+import pytest
+
+from fighinge.configuration.base import HostEntry, Values
+from fighinge.configuration.history import BASE_KEY
+from fighinge.configuration.watcher import ConfigurationWatcher, follow_host_list
+from fighinge.errors import ErrorKind, Failure
+from standins.platform import StandinPlatform
+from tests.fleets import ProcessFleet, base_values, until, zone_patch
+
+READ_BUDGET_PER_S = 2000
+
+
+class CountingPlatform:
+    """A platform that counts calls by second and may be down for all or for all but one."""
+
+    def __init__(self, clock) -> None:
+        self.platform = StandinPlatform()
+        self.clock = clock
+        self.calls: dict[int, int] = {}
+        self.is_down = False
+
+    def count(self) -> None:
+        second = int(self.clock())
+        self.calls[second] = self.calls.get(second, 0) + 1
+
+    async def read(self, prefix: str, after_revision: int, wait_s: float) -> Values | Failure:
+        self.count()
+        if self.is_down:
+            await asyncio.sleep(0.5)
+            return Failure(ErrorKind.NOT_READY, "down")
+        return await self.platform.read(prefix, after_revision, wait_s)
+
+    async def hosts(self) -> list[HostEntry] | Failure:
+        self.count()
+        return Failure(ErrorKind.NOT_READY, "down") if self.is_down else self.platform.hosts
+
+    def rate(self, from_s: float, to_s: float) -> float:
+        """Return the calls a second between two times."""
+        return sum(self.calls.get(s, 0) for s in range(int(from_s), int(to_s))) / (to_s - from_s)
+
+    def peak(self) -> int:
+        """Return the most calls in a second."""
+        return max(self.calls.values())
+
+
+def _run(work):
+    loop = looptime.new_event_loop(start=1000.0, end=100_000.0, noop_cycles=1)
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+async def _started(zones: int, hosts: int) -> tuple[ProcessFleet, CountingPlatform]:
+    platform = CountingPlatform(asyncio.get_running_loop().time)
+    await platform.platform.publish(BASE_KEY, bytes(base_values().values[BASE_KEY]))
+    fleet = ProcessFleet(zones, hosts)
+    platform.platform.hosts = [HostEntry(host, zone) for host, zone in fleet.hosts.items()]
+    for process in fleet.processes.values():
+        _watch(process, platform)
+    return fleet, platform
+
+
+def _watch(process, platform) -> None:
+    source = random.Random(process.host)
+    membership = process.membership
+    process.watcher = ConfigurationWatcher(
+        platform, process.store, membership, process.clock, source
+    )
+    process.tasks = [
+        asyncio.create_task(process.watcher.run()),
+        asyncio.create_task(follow_host_list(platform, membership, lambda _: None, source)),
+    ]
+
+
+def _all_at(fleet, version):
+    return lambda: all(process.store.version == version for process in fleet.processes.values())
+
+
+@pytest.mark.parametrize(("zones", "hosts"), [(2, 4), (2, 16)])
+def test_reads_stay_within_the_budget_when_all_start_and_when_the_platform_returns(zones, hosts):
+    async def run():
+        fleet, platform = await _started(zones, hosts)
+        await until(_all_at(fleet, 1), 5)
+        await asyncio.sleep(20)
+        platform.is_down = True
+        await asyncio.sleep(30)
+        platform.is_down = False
+        await asyncio.sleep(10)
+        assert platform.peak() < READ_BUDGET_PER_S / 10
+        readers = [p for p in fleet.processes.values() if p.watcher.is_reader]
+        assert len(readers) == 3 * zones
+
+    _run(run())
+
+
+@pytest.mark.parametrize("lone", ["reader", "other"])
+def test_version_spreads_from_the_only_process_that_the_platform_answers(lone):
+    async def run():
+        fleet, platform = await _started(3, 8)
+        await until(_all_at(fleet, 1), 5)
+        await asyncio.sleep(5)
+        wanted = lone == "reader"
+        chosen = next(p for p in fleet.processes.values() if p.watcher.is_reader is wanted)
+        silent = CountingPlatform(platform.clock)
+        silent.is_down = True
+        for process in fleet.processes.values():
+            if process is not chosen:
+                for task in process.tasks:
+                    task.cancel()
+                _watch(process, silent)
+        key, value = next(iter(zone_patch(1).values.items()))
+        await platform.platform.publish(key, bytes(value))
+        await until(_all_at(fleet, 2), 5)
+
+    _run(run())
+
+
+def test_platform_that_comes_back_older_is_read_anew_and_reverts_nothing():
+    async def run():
+        fleet, platform = await _started(1, 2)
+        for number in (1, 2):
+            key, value = next(iter(zone_patch(number).values.items()))
+            await platform.platform.publish(key, bytes(value))
+        await until(_all_at(fleet, 3), 10)
+        older = StandinPlatform()
+        await older.publish(BASE_KEY, bytes(base_values().values[BASE_KEY]))
+        platform.platform = older
+        await asyncio.sleep(60)
+        assert _all_at(fleet, 3)()
+        for number in (1, 2, 3):
+            key, value = next(iter(zone_patch(number).values.items()))
+            await older.publish(key, bytes(value))
+        await until(_all_at(fleet, 4), 10)
+
+    _run(run())
+
+
+def test_process_with_neither_platform_nor_peers_never_becomes_ready():
+    async def run():
+        fleet, platform = await _started(1, 1)
+        platform.is_down = True
+        await asyncio.sleep(600)
+        assert not next(iter(fleet.processes.values())).membership.spread.confirmed
+
+    _run(run())
