Stop processes without cutting off queries, and test it on real ones

An entry that was told to stop kept serving for keep_s only, although peers may still give its address out until they hear of it; it now adds a second, and it gives out no tickets while it leaves. Hosts to ask for the fleet may be set, for a process that starts while the platform is down on a host that nobody knows.

--- a/fighinge/cmd/entry.py
+++ b/fighinge/cmd/entry.py
@@ -27,6 +27,7 @@
 logger = logbook.Logger(__name__)
 
 TICKETS_IN_ANSWER = 4
+LEAVE_S = 1.0
 FINISH_LIMIT_S = 65.0
 FLUSH_S = 0.1
 
@@ -56,7 +57,8 @@
         if node.store.accepted is None:
             return Failure(ErrorKind.NOT_READY, "no configuration is confirmed yet")
         answer = node.fleet.entries(node.store.accepted.document, caller, zone)
-        answer.tickets = tickets.mint(TICKETS_IN_ANSWER, clock())
+        if not node.membership.table.me.leaving:
+            answer.tickets = tickets.mint(TICKETS_IN_ANSWER, clock())
         return answer
 
     def labels_of(service_name: str) -> QueryLabels:
@@ -76,7 +78,7 @@
     await node.stop_request.wait()
     logger.notice("entry stops; callers may use it for {} s", settings.keep_s)
     node.membership.leave()
-    await node.stop_request.pause(settings.keep_s)
+    await node.stop_request.pause(settings.keep_s + min(settings.keep_s, LEAVE_S))
     server.stop()
     if not await queries.running.finished(FINISH_LIMIT_S):
         logger.error("{} queries were cut off", len(queries.running))
--- a/fighinge/configuration/watcher.py
+++ b/fighinge/configuration/watcher.py
@@ -130,14 +130,18 @@
 async def follow_host_list(
     host_list: HostList,
     membership: Membership,
+    seeds: tuple[str, ...],
     take: Callable[[list[HostEntry]], None],
     random_source: random.Random,
 ) -> None:
-    """Read the platform's host list for as long as the task runs."""
+    """Read the platform's host list for as long as the task runs.
+
+    :param seeds: hosts that count as seeds although the platform may not list them
+    """
     while True:
         hosts = await host_list.hosts()
         if not isinstance(hosts, Failure):
-            membership.set_seeds([host.address for host in hosts])
+            membership.set_seeds([*seeds, *(host.address for host in hosts)])
             take(hosts)
         table = membership.table
         interval_s = MIN_INTERVAL_S
--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -31,7 +31,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from fighinge.configuration.store import ConfigurationStore
     from fighinge.facts import Fact, FactBoard
@@ -123,7 +123,7 @@
         finally:
             self._transport.close()
 
-    def set_seeds(self, hosts: list[str]) -> None:
+    def set_seeds(self, hosts: Iterable[str]) -> None:
         """Take the hosts whose processes are asked to let this one take part."""
         self._seeds = {self._ports.address(role, host) for host in hosts for role in Role}
         self._seeds.discard(self.address)
--- a/fighinge/process.py
+++ b/fighinge/process.py
@@ -72,6 +72,7 @@
         self.membership = _membership(settings, Role(role), self.store, self.board, self._random)
         returns = ZoneReturns(self.board, clock)
         self.store.listen(returns.configure)
+        self.membership.set_seeds(settings.gossip_seeds)
         self.pauses.listen(self.membership.paused)
         self.fleet = Fleet(
             Ports(settings.entry_port, settings.aggregator_port),
@@ -101,7 +102,15 @@
         self.spawn(self.pauses.run())
         self.spawn(self.membership.run())
         self.spawn(watcher.run())
-        self.spawn(follow_host_list(self.platform, self.membership, self.fleet.take, self._random))
+        self.spawn(
+            follow_host_list(
+                self.platform,
+                self.membership,
+                self.settings.gossip_seeds,
+                self.fleet.take,
+                self._random,
+            )
+        )
 
     def spawn(self, work: Coroutine) -> None:
         """Run a task until the process stops; its failure stops the process."""
--- a/fighinge/settings.py
+++ b/fighinge/settings.py
@@ -20,7 +20,8 @@
     """What a process learns from its settings file.
 
     ``address`` is the host's own IP number; ports are the same on every host. ``gossip_key``
-    is a secret that the fleet's datagrams are checked with. Callers keep an answer on which
+    is a secret that the fleet's datagrams are checked with, ``gossip_seeds`` are hosts to ask
+    beside those on the platform's list. Callers keep an answer on which
     entries to use for ``keep_s``, and a stopping process serves on for as long.
     """
 
@@ -32,6 +33,7 @@
     entry_gossip_port: int = 8070
     aggregator_gossip_port: int = 8071
     gossip_key: str = ""
+    gossip_seeds: tuple[str, ...] = ()
     keep_s: float = 10.0
     log_format: str = "text"
     log_level: str = "INFO"
@@ -47,7 +49,7 @@
         "entry_gossip": "entry_gossip_port",
         "aggregator_gossip": "aggregator_gossip_port",
     },
-    "gossip": {"key": "gossip_key"},
+    "gossip": {"key": "gossip_key", "seeds": "gossip_seeds"},
     "stop": {"keep_s": "keep_s"},
     "log": {"format": "log_format", "level": "log_level"},
     "aggregator": {"policy": "aggregator_policy"},
@@ -94,6 +96,8 @@
 def _value(name: str, text: str) -> object | None:
     if name.endswith("_port"):
         return int(text) if text.isdecimal() and 1 <= int(text) <= 65535 else None
+    if name == "gossip_seeds":
+        return _hosts(text)
     if name == "keep_s":
         return _seconds(text)
     if name == "address":
@@ -105,6 +109,11 @@
     return text or None
 
 
+def _hosts(text: str) -> tuple[str, ...] | None:
+    hosts = tuple(host.strip() for host in text.split(","))
+    return hosts if all(_is_ip(host) for host in hosts) else None
+
+
 def _seconds(text: str) -> float | None:
     try:
         value = float(text)
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -29,6 +29,12 @@
       | 3     | 4     | one way   |
       | 2     | 8     | both ways |
 
+  Scenario: membership is found by a process that knows no seed
+    Given membership of 3 zones with 4 hosts each that loses 0.0 of its datagrams
+    When membership meets "crash" at host "10.0.2.1"
+    And membership meets "restart without seeds" at host "10.0.2.1"
+    Then membership holds all as alive within 5 s
+
   Scenario: membership of a host with a flapping network
     Given membership of 3 zones with 4 hosts each that loses 0.0 of its datagrams
     When membership of host "10.0.2.1" flaps every 3 s for 60 s
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -58,59 +58,59 @@
     on_loop(context, start())
 
 
-@when('membership meets "{event}" at host "{host}"')
-def meet(context, event, host):
-    fleet = context.fleet
-    others = set(fleet.hosts) - {host}
+class HostEvents:
+    """What may happen to a host; each method is one event."""
+
+    def __init__(self, context, host):
+        self.context = context
+        self.fleet = context.fleet
+        self.host = host
+        self.others = set(self.fleet.hosts) - {host}
 
-    async def crash():
-        fleet.processes.pop(host).crash()
+    async def crash(self):
+        self.fleet.processes.pop(self.host).crash()
 
-    async def restart():
-        fleet.start(host, incarnation=101)
+    async def restart(self):
+        self.fleet.start(self.host, incarnation=101)
 
-    async def replaced():
-        fleet.start(host, incarnation=1)
+    async def restart_without_seeds(self):
+        self.fleet.start(self.host, incarnation=101).membership.set_seeds([])
 
-    async def pause():
-        fleet.cut({host}, others)
-        context.paused = fleet.processes[host]
-        context.paused.crash()
+    async def replaced_host(self):
+        self.fleet.start(self.host, incarnation=1)
 
-    async def wake():
-        fleet.heal()
-        process = context.paused
+    async def pause(self):
+        self.fleet.cut({self.host}, self.others)
+        self.context.paused = self.fleet.processes[self.host]
+        self.context.paused.crash()
+
+    async def wake_up(self):
+        self.fleet.heal()
+        process = self.context.paused
         process.task = asyncio.create_task(process.membership.run())
         process.membership.paused(process.clock())
 
-    async def cut():
-        fleet.cut({host}, others)
+    async def cut_off(self):
+        self.fleet.cut({self.host}, self.others)
 
-    async def cut_inward():
-        fleet.cut(others, {host}, one_way=True)
+    async def cut_off_inward(self):
+        self.fleet.cut(self.others, {self.host}, one_way=True)
 
-    async def heal():
-        fleet.heal()
+    async def healing(self):
+        self.fleet.heal()
 
-    async def stop():
-        process = fleet.processes.pop(host)
+    async def planned_stop(self):
+        process = self.fleet.processes.pop(self.host)
         process.membership.leave()
         await asyncio.sleep(1)
         process.membership.farewell()
         process.crash()
 
-    events = {
-        "crash": crash,
-        "restart": restart,
-        "replaced host": replaced,
-        "pause": pause,
-        "wake-up": wake,
-        "cut off": cut,
-        "cut off inward": cut_inward,
-        "healing": heal,
-        "planned stop": stop,
-    }
-    on_loop(context, events[event]())
+
+@when('membership meets "{event}" at host "{host}"')
+def meet(context, event, host):
+    method = event.replace(" ", "_").replace("-", "_")
+    on_loop(context, getattr(HostEvents(context, host), method)())
 
 
 @when("membership is split around zone {zone:d} for {duration:g} s, {direction}")
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,127 @@
+"""Tests of real processes: planned stops, pauses and what operators are shown."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient
+
+from demo import fleet as demo
+from fighinge.client import Client
+from fighinge.queries import QueryAnswer, QueryRequest
+from fighinge.status import ProcessView
+
+GOSSIP_PORTS = {"entry": 8070, "aggregator": 8071}
+SERVICE_MS = 600.0
+SLOW_DEADLINE_MS = 5000.0
+PAUSE_S = 2.0
+
+
+def _fleet(hosts: int) -> demo.Fleet:
+    return demo.Fleet(msgspec.json.encode(demo.document()), demo.host_entries()[:hosts])
+
+
+async def _view(role: str, host: str) -> ProcessView:
+    url = f"http://{host}:{GOSSIP_PORTS[role]}/v1/status"
+    response = await AsyncHTTPClient().fetch(url)
+    return msgspec.json.decode(response.body, type=ProcessView)
+
+
+async def _until(condition, limit_s: float = 10.0) -> None:
+    async with asyncio.timeout(limit_s):
+        while True:
+            if await condition():
+                return
+            await asyncio.sleep(0.05)
+
+
+async def _all_members_known(fleet: demo.Fleet) -> bool:
+    views = [await _view(role, host) for role, host in fleet.processes]
+    return all(
+        view.configuration_confirmed and len(view.members) == len(fleet.processes) for view in views
+    )
+
+
+async def _stop_under_load(fleet: demo.Fleet, client: Client, role: str, signals: int) -> None:
+    """Stop a process while queries run and check that each one is answered whole."""
+    request = QueryRequest(deadline_ms=SLOW_DEADLINE_MS)
+    queries = [asyncio.create_task(client.query("badges", request)) for _ in range(3)]
+    await asyncio.sleep(0.2)
+    process = fleet.processes[role, fleet.hosts[0].address]
+    for _ in range(signals):
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+    answers = await asyncio.gather(*queries)
+    assert all(isinstance(answer, QueryAnswer) for answer in answers), answers
+    assert {answer.coverage.share for answer in answers} == {1.0}
+    async with asyncio.timeout(10):
+        assert await process.wait() == 0
+
+
+def test_stop_cuts_off_no_query():
+    async def run():
+        fleet = _fleet(2)
+        client = Client([f"http://{host.address}:{demo.ENTRY_PORT}" for host in fleet.hosts])
+        try:
+            await fleet.start()
+            await _until(lambda: _all_members_known(fleet))
+            for server in fleet.servers.values():
+                server.behaviour.service_ms = SERVICE_MS
+            for role, signals in (("entry", 1), ("aggregator", 2)):
+                await _stop_under_load(fleet, client, role, signals)
+        finally:
+            client.close()
+            await fleet.stop()
+
+    asyncio.run(run())
+
+
+def test_stop_without_platform_and_peers():
+    async def run():
+        fleet = _fleet(1)
+        host = fleet.hosts[0]
+        try:
+            for role in demo.ROLES:
+                await fleet.start_process(role, host)
+                await _until(lambda role=role: _is_up(role, host.address))
+            for process in fleet.processes.values():
+                process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(10):
+                codes = [await process.wait() for process in fleet.processes.values()]
+            assert codes == [0, 0]
+        finally:
+            await fleet.stop()
+
+    asyncio.run(run())
+
+
+async def _is_up(role: str, host: str) -> bool:
+    try:
+        view = await _view(role, host)
+    except OSError:
+        return False
+    return not view.configuration_confirmed
+
+
+def test_paused_process_takes_part_again():
+    async def run():
+        fleet = _fleet(2)
+        try:
+            await fleet.start()
+            await _until(lambda: _all_members_known(fleet))
+            paused, other = (host.address for host in fleet.hosts)
+            process = fleet.processes["entry", paused]
+
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(PAUSE_S)
+            process.send_signal(signal.SIGCONT)
+            await _until(lambda: _all_members_known(fleet), 5)
+            view = await _view("entry", other)
+            states = {member.name: member.state for member in view.members}
+            assert states[f"entry@{paused}"] == "alive"
+        finally:
+            await fleet.stop()
+
+    asyncio.run(run())
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -83,7 +83,7 @@
     )
     process.tasks = [
         asyncio.create_task(process.watcher.run()),
-        asyncio.create_task(follow_host_list(platform, membership, lambda _: None, source)),
+        asyncio.create_task(follow_host_list(platform, membership, (), lambda _: None, source)),
     ]
 
 
