--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,14 +5,20 @@
 import asyncio
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import defopt
 import msgspec
 
-from benchmarks.driver import run_scenario
+from benchmarks.driver import progress, run_scenario
+from benchmarks.report import write_report
 from benchmarks.scenarios import SCENARIOS, find
 
+if TYPE_CHECKING:
+    from benchmarks.scenarios import Scenario
+
 RESULTS = Path(__file__).parent / "results"
+PAGE = Path(__file__).parent.parent / "docs" / "MEASUREMENTS.md"
 EXIT_UNKNOWN_NAME = 2
 
 
@@ -33,7 +39,10 @@
     :param json: file for the result, standard output if none
     :param all: measure every scenario and write docs/MEASUREMENTS.md
     """
-    if list or not (name or all):
+    if all:
+        _measure_all(seed)
+        return
+    if list or not name:
         for scenario in SCENARIOS:
             print(f"{scenario.name:16} {scenario.purpose}")
         return
@@ -41,12 +50,30 @@
     if scenario is None:
         print(f"error: no scenario {name!r}; --list names them", file=sys.stderr)
         sys.exit(EXIT_UNKNOWN_NAME)
-    result = asyncio.run(run_scenario(scenario, seed))
-    text = msgspec.json.format(msgspec.json.encode(result), indent=1)
+    text = _measure(scenario, seed)
     if json is None:
-        print(text.decode())
+        print(text.decode(), end="")
     else:
-        json.write_bytes(text + b"\n")
+        json.write_bytes(text)
+
+
+def _measure(scenario: Scenario, seed: int) -> bytes:
+    result = asyncio.run(run_scenario(scenario, seed))
+    return msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n"
+
+
+def _measure_all(seed: int) -> None:
+    """Measure every scenario; one that fails is told and leaves its place on the page empty."""
+    RESULTS.mkdir(exist_ok=True)
+    for scenario in SCENARIOS:
+        path = RESULTS / f"{scenario.name}.json"
+        path.unlink(missing_ok=True)
+        try:
+            path.write_bytes(_measure(scenario, seed))
+        except Exception as error:
+            progress(f"{scenario.name} could not be measured: {error!r}")
+    write_report(RESULTS, PAGE)
+    print(PAGE.read_text(encoding="utf-8").partition("## Targets")[2].partition("\n## ")[0])
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,145 @@
+"""Writes docs/MEASUREMENTS.md from the results of all scenarios."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from benchmarks.scenarios import SCENARIOS
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from benchmarks.scenarios import Scenario, Target
+
+COMMON = frozenset(
+    {"policy", "latency_ms", "coverage", "extra_load", "errors", "violations", "queries"}
+)
+HEADER = """# Measurements
+
+Written by `make bench` from the JSON files in benchmarks/results; do not edit by hand. Each
+figure comes from real fighinge processes, stand-in backend servers and an open-loop load on one
+machine, all on loopback addresses. A latency counts from the moment at which the query was to be
+sent and includes the way from and to the client. Fleets are shaped like those of the two users:
+slots, connection limits, connection times and one-way latencies are theirs; the numbers of hosts
+and backend servers are scaled to one machine, as the fleet column says. The way to a backend
+server is its mean over data centres, since a stand-in cannot tell its callers apart; the ways
+between processes are those of loopback. `plain` has neither hedges nor adaptive limits, `fighinge`
+is as shipped, `floor` is `fighinge` without the fault.
+"""
+
+
+def write_report(results_directory: Path, page: Path) -> None:
+    """Write the page from the results that exist; what was not run is said to be so."""
+    text = [HEADER, _targets(results_directory)]
+    for scenario in SCENARIOS:
+        text.append(_section(scenario, read_result(results_directory, scenario.name)))
+    page.write_text("\n".join(text), encoding="utf-8")
+
+
+def read_result(results_directory: Path, name: str) -> dict | None:
+    """Return a scenario's result, or none if it has not been run."""
+    path = results_directory / f"{name}.json"
+    return msgspec.json.decode(path.read_bytes()) if path.exists() else None
+
+
+def figure(result: dict, policy: str, path: str) -> float | None:
+    """Return a figure of a policy by the path to it; ``a.b`` is b in a, absent counts are 0."""
+    found: object = next((each for each in result["policies"] if each["policy"] == policy), {})
+    if path == "p99_to_floor":
+        return _p99_to_floor(result)
+    if path == "violations_total":
+        return sum(found.get("violations", {}).values()) if found else None
+    for name in path.split("."):
+        default = 0 if path.startswith("violations") else None
+        found = found.get(name, default) if isinstance(found, dict) else default
+    return found
+
+
+def verdict(target: Target, value: float | None) -> str:
+    """Return whether a target is reached."""
+    if value is None:
+        return "**not measured**"
+    return "reached" if target.at_least <= value <= target.at_most else "**missed**"
+
+
+def _p99_to_floor(result: dict) -> float | None:
+    ours, floor = (figure(result, name, "latency_ms.p99") for name in ("fighinge", "floor"))
+    return round(ours / floor, 3) if ours and floor else None
+
+
+def _targets(results_directory: Path) -> str:
+    lines = ["## Targets\n", "| scenario | figure | target | measured | |", "|---|---|---|---|---|"]
+    for scenario in SCENARIOS:
+        result = read_result(results_directory, scenario.name)
+        for target in scenario.targets:
+            value = figure(result, "fighinge", target.path) if result else None
+            lines.append(
+                f"| {scenario.name} | {target.path} | {_bound(target)} | {_shown(value)} "
+                f"| {verdict(target, value)} |"
+            )
+    return "\n".join(lines) + "\n"
+
+
+def _bound(target: Target) -> str:
+    if target.at_most == float("inf"):
+        return f"at least {target.at_least:g}"
+    return f"at most {target.at_most:g}"
+
+
+def _section(scenario: Scenario, result: dict | None) -> str:
+    lines = [f"## {scenario.name}\n", f"{scenario.purpose[0].upper()}{scenario.purpose[1:]}.\n"]
+    if result is None:
+        return "\n".join([*lines, "Not run.\n"])
+    lines += [f"Fleet: {_fleet(scenario)}. Command: {_command(result)}\n", *_table(result), ""]
+    for policy in result["policies"]:
+        own = {name: value for name, value in policy.items() if name not in COMMON}
+        lines += [f"- {policy['policy']}, {name}: {_shown(value)}" for name, value in own.items()]
+    return "\n".join(lines) + "\n"
+
+
+def _command(result: dict) -> str:
+    return f"`python -m benchmarks {result['scenario']} --seed {result['seed']}`."
+
+
+def _fleet(scenario: Scenario) -> str:
+    shape = scenario.steps[-1].shape
+    hosts = shape.hosts_per_zone * len(shape.zones)
+    return (
+        f"{hosts} hosts in {len(shape.zones)} data centres, {shape.groups} replica groups of "
+        f"{shape.replicas} backend servers with {shape.slots} slots, {shape.connection_limit} "
+        f"connections at {shape.connect_ms:g} ms each, service {shape.service_ms:g} ms, one way "
+        f"{shape.one_way_ms:g} ms to backend servers and {shape.client_way_ms:g} ms to clients"
+    )
+
+
+def _table(result: dict) -> list[str]:
+    lines = [
+        "| policy | queries | p50 ms | p90 ms | p99 ms | p999 ms | coverage mean | min "
+        "| extra load | errors | violations |",
+        "|---|---|---|---|---|---|---|---|---|---|---|",
+    ]
+    for policy in result["policies"]:
+        latency, coverage = policy["latency_ms"], policy["coverage"]
+        cells = [
+            policy["policy"],
+            policy["queries"],
+            *(latency.get(name) for name in ("p50", "p90", "p99", "p999")),
+            *(coverage.get(name) for name in ("mean", "min")),
+            policy["extra_load"],
+            _shown(policy["errors"] or 0),
+            _shown(policy["violations"] or 0),
+        ]
+        lines.append("| " + " | ".join(_shown(cell) for cell in cells) + " |")
+    return lines
+
+
+def _shown(value: object) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, dict):
+        return ", ".join(f"{name} {_shown(each)}" for name, each in value.items())
+    if isinstance(value, list):
+        return "; ".join(_shown(each) for each in value)
+    return f"{value:g}" if isinstance(value, float) else str(value)
