Compare ways to decide at the back ends in virtual time

benchmarks.decisions runs the aggregator's real decisions over stand-ins in virtual time, so that figures for the decision pages take seconds and repeat exactly from a seed. First calls count for the budget when they start.

--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,318 @@
+"""Compares ways to decide at the back ends, in virtual time: real decisions over stand-ins.
+
+Run ``python -m benchmarks.decisions NAME --seed N``; the figures go into docs/decisions/.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import defopt
+import msgspec
+
+from fighinge.aggregator.policy import Policy
+from fighinge.aggregator.service import AggregatorService
+from fighinge.groups import GroupMap
+from fighinge.messages import GroupShards, Search, SubQuery
+from fighinge.model import Document
+from standins.backend import StandinServer
+from standins.direct import DirectBackendClient
+from standins.records import shard_map
+from tests import virtual_time
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fighinge.messages import GroupOutcome
+
+FULL, PLAIN = Policy(), Policy.plain()
+SLOTS = 4
+SERVICE_MS = 5.0
+
+
+class Stream(msgspec.Struct, frozen=True, kw_only=True):
+    """Queries of one class that arrive at random moments."""
+
+    query_class: str = "desk"
+    rate_per_s: float = 50.0
+    deadline_s: float = 1.0
+    repeatable: bool = True
+
+
+class Trial:
+    """One aggregator over stand-ins, and what came of the queries."""
+
+    def __init__(self, policy: Policy, seed: int, *, groups: int, replicas: int = 3, zones=1):
+        self.document = _document(groups, replicas, zones)
+        self.standins = {
+            name: StandinServer(name, self.document, seed) for name in self.document.backend_servers
+        }
+        self.clock = asyncio.get_running_loop().time
+        client = DirectBackendClient(self.standins.values())
+        self.service = AggregatorService(client, self.clock, zone="z0", policy=policy, seed=seed)
+        self.service.configure(self.document)
+        self.random = random.Random(seed)
+        self.latencies_ms: dict[str, list[float]] = {}
+        self.kinds: Counter = Counter()
+        self.false_refusals = 0
+        self._polling = asyncio.create_task(self.service.poll_states())
+        self._calls = 0
+        self._shards = tuple(
+            GroupShards(name, shards)
+            for name, shards in GroupMap.from_document(self.document)
+            .shards_by_group(self.document, "c", 1)
+            .items()
+        )
+
+    async def load(self, streams: list[Stream], duration_s: float, *, counted: bool = True) -> None:
+        """Send every stream's queries and wait for the last answer."""
+        await asyncio.gather(*(self._send(stream, duration_s, counted) for stream in streams))
+
+    async def _send(self, stream: Stream, duration_s: float, counted: bool) -> None:
+        queries = []
+        end_s = self.clock() + duration_s
+        while self.clock() < end_s:
+            queries.append(asyncio.create_task(self.query(stream, counted=counted)))
+            await asyncio.sleep(self.random.expovariate(stream.rate_per_s))
+        await asyncio.gather(*queries)
+
+    async def query(self, stream: Stream, *, counted: bool = True, **changes) -> list[GroupOutcome]:
+        """Send one query to every group and wait for all of them."""
+        self._calls += 1
+        outcomes: list[GroupOutcome] = []
+        done = asyncio.Event()
+
+        def reply(_call: int, outcome: GroupOutcome) -> None:
+            outcomes.append(outcome)
+            if len(outcomes) == len(self._shards):
+                done.set()
+
+        fields = {
+            "call": self._calls,
+            "request_id": f"r{self._calls}",
+            "service": stream.query_class,
+            "collection": "c",
+            "index_version": 1,
+            "query_class": stream.query_class,
+            "tenant": "t1",
+            "groups": self._shards,
+            "search": Search(limit=1),
+            "remaining_s": stream.deadline_s,
+            "repeatable": stream.repeatable,
+            "fingerprint": f"f{self._calls}",
+            "configuration_version": 1,
+        }
+        started_s = self.clock()
+        self.service.submit(SubQuery(**(fields | changes)), reply)
+        await done.wait()
+        if counted:
+            self._count(stream, outcomes, self.clock() - started_s)
+        return outcomes
+
+    def _count(self, stream: Stream, outcomes: list[GroupOutcome], took_s: float) -> None:
+        if all(not outcome.missing for outcome in outcomes):
+            self.kinds[stream.query_class, "whole"] += 1
+            self.latencies_ms.setdefault(stream.query_class, []).append(took_s * 1000)
+            return
+        for outcome in outcomes:
+            for missing in outcome.missing[:1]:
+                self.kinds[stream.query_class, missing.kind.value] += 1
+            ran = any(attempt.result != "not_connected" for attempt in outcome.attempts)
+            self.false_refusals += bool(outcome.missing) and not outcome.sent and ran
+
+    def quantile_ms(self, query_class: str, quantile: float) -> float:
+        """Return a latency of the whole answers of a class."""
+        ordered = sorted(self.latencies_ms.get(query_class, [float("nan")]))
+        return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
+
+    def extra_share(self) -> float:
+        """Return the calls beyond the first ones, as a share of these."""
+        budgets = self.service.shared.budgets
+        used = [budgets.of(name) for name in self.document.classes]
+        searches = sum(standin.counters.searches for standin in self.standins.values())
+        first = sum(budget.first_calls for budget in used)
+        return searches / first - 1
+
+    def counted(self, name: str) -> int:
+        """Return the sum of a counter of the stand-ins."""
+        return sum(getattr(standin.counters, name) for standin in self.standins.values())
+
+    def behave(self, **changes) -> None:
+        """Change how every stand-in serves."""
+        for standin in self.standins.values():
+            for name, value in changes.items():
+                setattr(standin.behaviour, name, value)
+
+    def say(self, label: str) -> None:
+        """Print the figures of the trial."""
+        for query_class, latencies in sorted(self.latencies_ms.items()):
+            quantiles = " ".join(
+                f"p{share:g} {self.quantile_ms(query_class, share / 100):.1f}"
+                for share in (50, 99, 99.9)
+            )
+            print(f"{label}: {query_class} {len(latencies)} whole answers, ms: {quantiles}")
+        print(
+            f"{label}: extra load {self.extra_share():.2%}, shed {self.counted('shed')},", end=" "
+        )
+        print(f"overloaded moments {self.counted('overloaded_moments')},", end=" ")
+        print(f"refused as not run though run {self.false_refusals}")
+        others = {" ".join(name): n for name, n in self.kinds.items() if name[1] != "whole"}
+        print(f"{label}: others {others}")
+
+
+def _document(groups: int, replicas: int, zones: int) -> Document:
+    servers = {
+        f"b{number:03d}": {
+            "host": "127.0.0.1",
+            "port": 10_000 + number,
+            "zone": f"z{number % zones}",
+            "slots": SLOTS,
+            "connection_limit": 35,
+        }
+        for number in range(groups * replicas)
+    }
+
+    def replicas_of(shard: int) -> list[str]:
+        return [f"b{shard * replicas + number:03d}" for number in range(replicas)]
+
+    raw = {
+        "zones": {f"z{number}": {} for number in range(zones)},
+        "classes": {"desk": {"weight": 8, "rank": 0}, "batch": {"weight": 1, "rank": 9}},
+        "backend_servers": servers,
+        "collections": {
+            "c": {"snapshots": [{"index_version": 1, "shards": shard_map(groups, replicas_of)}]}
+        },
+        "services": {"desk": {"collection": "c", "query_class": "desk"}},
+    }
+    return msgspec.convert(raw, Document)
+
+
+async def _warm(trial: Trial) -> None:
+    await asyncio.sleep(0.6)
+    await trial.load([Stream(rate_per_s=60)], 2.0, counted=False)
+
+
+def _with(**changes) -> Policy:
+    return msgspec.structs.replace(FULL, **changes)
+
+
+async def straggler(seed: int) -> None:
+    """1 call in 100 takes 10 times as long; each query goes to 25 groups of 3 replicas."""
+    for label, policy, share in (
+        ("plain, no stragglers", PLAIN, 0.0),
+        ("plain", PLAIN, 0.01),
+        ("full, no stragglers", FULL, 0.0),
+        ("full", FULL, 0.01),
+        ("full without hedges", _with(hedging=False), 0.01),
+    ):
+        trial = Trial(policy, seed, groups=25)
+        trial.behave(straggler_share=share)
+        await _warm(trial)
+        await trial.load([Stream(rate_per_s=60)], 8.0)
+        trial.say(label)
+
+
+async def choice(seed: int) -> None:
+    """One replica of each group is 4 times as slow, at two loads, in two zones."""
+    for rate in (60.0, 300.0):
+        for label, policy in (
+            ("random", _with(latency_choice=False, hedging=False)),
+            ("least expected time", _with(hedging=False)),
+        ):
+            trial = Trial(policy, seed, groups=4, zones=2)
+            for number, standin in enumerate(trial.standins.values()):
+                standin.behaviour.one_way_ms = 1.5 if number % 2 else 0.0
+                if number % 3 == 0:
+                    standin.behaviour.service_ms = 4 * SERVICE_MS
+            await _warm(trial)
+            await trial.load([Stream(rate_per_s=rate)], 4.0)
+            trial.say(f"{label} at {rate:g}/s")
+
+
+async def overload(seed: int) -> None:
+    """Twice the capacity of one group, most of it batches."""
+    capacity_per_s = 3 * SLOTS / (SERVICE_MS / 1000)
+    desk = Stream(rate_per_s=0.2 * capacity_per_s, deadline_s=0.2)
+    batch = Stream(query_class="batch", rate_per_s=1.8 * capacity_per_s, deadline_s=0.5)
+    print(f"capacity {capacity_per_s:.0f} calls/s, offered twice that for 3 s")
+    for label, policy, streams in (
+        ("unloaded", FULL, [desk]),
+        ("one queue, no early refusal", PLAIN, [desk, batch]),
+        ("weighted, no early refusal", _with(early_refusal=False), [desk, batch]),
+        ("weighted, early refusal", FULL, [desk, batch]),
+    ):
+        trial = Trial(policy, seed, groups=1)
+        await _warm(trial)
+        started_s = trial.clock()
+        await trial.load(streams, 3.0)
+        answers = sum(len(latencies) for latencies in trial.latencies_ms.values())
+        useful = answers / (trial.clock() - started_s)
+        trial.say(label)
+        print(f"{label}: useful work {useful / capacity_per_s:.1%} of capacity")
+
+
+async def cold(seed: int) -> None:
+    """Every replica turns cold without notice, at 40% of capacity."""
+    rate = 0.4 * 3 * SLOTS / (SERVICE_MS / 1000)
+    for label, policy in (("no cold start", _with(cold_start=False)), ("full", FULL)):
+        trial = Trial(policy, seed, groups=1)
+        await _warm(trial)
+        before = trial.counted("overloaded_moments")
+        for standin in trial.standins.values():
+            standin.turn_cold()
+        started_s = trial.clock()
+        loading = asyncio.create_task(trial.load([Stream(rate_per_s=rate, deadline_s=0.2)], 10.0))
+        full_s = await _until_full(trial) - started_s
+        await loading
+        trial.say(label)
+        moments = trial.counted("overloaded_moments") - before
+        print(f"{label}: full allowance after {full_s:.2f} s, overloaded moments {moments}")
+
+
+async def _until_full(trial: Trial) -> float:
+    """Return when every server has its full allowance again."""
+    await asyncio.sleep(0.2)
+    for _number in range(1000):
+        servers = [server for group in trial.service.groups() for server in group.servers.values()]
+        if all(server.allowance() == SLOTS for server in servers):
+            break
+        await asyncio.sleep(0.01)
+    return trial.clock()
+
+
+async def group_down(seed: int) -> None:
+    """Every replica of one group of four refuses connections, or sheds everything."""
+    for label, changes in (("absent", {"absent": True}), ("sheds", {"shed_share": 1.0})):
+        for name, policy in (("plain", PLAIN), ("full", FULL)):
+            trial = Trial(policy, seed, groups=4)
+            await _warm(trial)
+            for standin in list(trial.standins.values())[:3]:
+                for field, value in changes.items():
+                    setattr(standin.behaviour, field, value)
+            await trial.load([Stream(rate_per_s=200)], 5.0)
+            trial.say(f"{name}, {label}")
+
+
+SCENARIOS: dict[str, Callable] = {
+    "straggler": straggler,
+    "choice": choice,
+    "overload": overload,
+    "cold": cold,
+    "group-down": group_down,
+}
+
+
+def decisions(name: str, *, seed: int = 1) -> None:
+    """Run one comparison.
+
+    :param name: straggler, choice, overload, cold or group-down
+    :param seed: seed of arrivals, service times and choices
+    """
+    virtual_time.run(SCENARIOS[name](seed))
+
+
+if __name__ == "__main__":
+    defopt.run(decisions)
--- a/fighinge/aggregator/admission.py
+++ b/fighinge/aggregator/admission.py
@@ -23,6 +23,7 @@
 INITIAL_COST_S = 0.01
 LEARNING_CALLS = 20
 SHORTEST_SHARE = 0.5
+QUEUED_SHARE = 1.25
 RETRY_AFTER_S = 0.5
 SHORTEST_RETRY_AFTER_S = 0.05
 LOOKAHEAD = 8
@@ -39,6 +40,11 @@
     retry_after_s: float = RETRY_AFTER_S
 
 
+TOO_LATE = Refused(
+    Failure(ErrorKind.OVERLOADED, "no replica had a free slot in time"), SHORTEST_RETRY_AFTER_S
+)
+
+
 class Waiter:
     """A call that wants a slot of one of several replicas."""
 
@@ -174,7 +180,11 @@
             self.size -= 1
             if waiter.granted.done():
                 continue
+            if self._is_late(waiter, now_s):
+                waiter.granted.set_result(TOO_LATE)
+                continue
             free = [server for server in waiter.candidates if server.accepts(now_s)]
+            self._charge(self._class_queue(waiter.query_class))
             waiter.granted.set_result(self._start(waiter, free, now_s))
         self._set_timer()
 
@@ -194,7 +204,6 @@
         for queue in waiting:
             waiter = queue.next_served(now_s)
             if waiter is not None:
-                self._charge(queue)
                 return waiter
         return None
 
@@ -255,18 +264,20 @@
         self._timer = None
         now_s = self._clock()
         for queue in self._classes.values():
-            latest_s = now_s + (SHORTEST_SHARE * queue.cost_s if queue.calls else 0.0)
-            late = [waiter for waiter in queue.waiters() if waiter.deadline_s <= latest_s]
-            for waiter in late:
-                self._remove(waiter, queue)
-                if waiter.granted.done():
+            for waiter in queue.waiters():
+                if not self._is_late(waiter, now_s):
                     continue
-                reason = "no replica had a free slot in time"
-                waiter.granted.set_result(
-                    _refused(ErrorKind.OVERLOADED, reason, SHORTEST_RETRY_AFTER_S)
-                )
+                self._remove(waiter, queue)
+                if not waiter.granted.done():
+                    waiter.granted.set_result(TOO_LATE)
         self.dispatch()
 
+    def _is_late(self, waiter: Waiter, now_s: float) -> bool:
+        """Return whether a call would most likely not finish even if it started now."""
+        queue = self._class_queue(waiter.query_class)
+        cost_s = queue.cost_s if queue.calls >= LEARNING_CALLS else 0.0
+        return waiter.deadline_s - now_s <= QUEUED_SHARE * cost_s
+
     def _set_timer(self) -> None:
         if self.size and self._timer is None:
             loop = asyncio.get_running_loop()
--- a/fighinge/aggregator/attempts.py
+++ b/fighinge/aggregator/attempts.py
@@ -107,7 +107,6 @@
         candidates = self._candidates()
         if not candidates:
             return Refused(Failure(ErrorKind.NO_REPLICA, "no replica serves the index version"))
-        self._budget.first_call()
         if verdict is Verdict.SUSPECT:
             return await self._probe(candidates, "first")
         server = await self._acquire(candidates)
@@ -229,6 +228,8 @@
         )
         self.outcome.attempts.append(attempt)
         self._tried.add(server.name)
+        if reason == "first":
+            self._budget.first_call()
         call_id = self._group.next_call_id()
         task = self._group.start_call(
             server, call_id, self._sub_query, self._left, self._deadline_s, is_probe=self._is_probe
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -10,13 +10,15 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+IDLE_CYCLES = 2
+
 
 def run(work: Coroutine):
     """Run a coroutine to its end; every wait takes no real time.
 
     The caller's timeouts, sleeps and ``loop.time()`` all follow the virtual clock.
     """
-    loop = looptime.new_event_loop(start=1000.0, end=100_000.0)
+    loop = looptime.new_event_loop(start=1000.0, end=100_000.0, noop_cycles=IDLE_CYCLES)
     try:
         asyncio.set_event_loop(loop)
         return loop.run_until_complete(work)
