--- a/fighinge/messages.py
+++ b/fighinge/messages.py
@@ -166,15 +166,23 @@
     sent: bool = False
     retry_after_s: float = 0.0
 
+    def without_parts(self, kind: ErrorKind, reason: str) -> GroupOutcome:
+        """Return the outcome with each part replaced by an error."""
+        lost = [ShardMissing(part.shard, kind, reason) for part in self.parts]
+        return msgspec.structs.replace(self, parts=[], missing=self.missing + lost)
+
 
 class GroupStatus(msgspec.Struct):
     """What a replica group's owner believes of it.
 
-    ``index_versions`` maps a collection to the versions that each shard has a replica for.
+    ``index_versions`` maps a collection to the versions that some replica serves;
+    ``unserved_shards`` names, per collection and such a version, the shards without a
+    replica that serves it.
     """
 
     group: str
     index_versions: dict[str, list[int]]
+    unserved_shards: dict[str, dict[int, list[str]]] = {}
 
 
 def failed_group(
