--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -36,6 +36,7 @@
     took_s: float
     usage: dict[str, Usage]
     idle: dict[str, Usage]
+    idle_bytes_per_s: float
     counters: dict[str, Counters]
     executions: dict[str, dict[str, int]]
     notes: dict[str, object]
@@ -89,7 +90,7 @@
         callers = Callers(fleet, step.shape, lambda address: f"http://{address}:{ENTRY_PORT}")
         try:
             await _load(step, callers, seed + 1, step.warm_up_s, [])
-            idle = await _idle_rates(fleet, step.idle_s)
+            idle, idle_bytes_per_s = await _idle_rates(fleet, step.idle_s)
             counters = await fleet.counters()
             usage = {role: fleet.usage(role) for role in ROLES}
             started_s = time.monotonic()
@@ -106,6 +107,7 @@
                 took_s=took_s,
                 usage={role: fleet.usage(role).since(usage[role]) for role in ROLES},
                 idle=idle,
+                idle_bytes_per_s=idle_bytes_per_s,
                 counters=_since(await fleet.counters(), counters),
                 executions=await fleet.executions() if scenario.checks_executions else {},
                 notes=notes,
@@ -124,13 +126,15 @@
         group.create_task(asyncio.sleep(duration_s))
 
 
-async def _idle_rates(fleet: MeasuredFleet, idle_s: float) -> dict[str, Usage]:
-    """Return what each role uses in a second without any query."""
+async def _idle_rates(fleet: MeasuredFleet, idle_s: float) -> tuple[dict[str, Usage], float]:
+    """Return what each role uses in a second without any query, and all datagrams' bytes."""
     if not idle_s:
-        return {}
+        return {}, 0.0
+    sent_bytes = await fleet.sent_bytes()
     before = {role: fleet.usage(role) for role in ROLES}
     await asyncio.sleep(idle_s)
-    return {role: fleet.usage(role).since(before[role]).per(idle_s) for role in ROLES}
+    rates = {role: fleet.usage(role).since(before[role]).per(idle_s) for role in ROLES}
+    return rates, (await fleet.sent_bytes() - sent_bytes) / idle_s
 
 
 async def _inflict(fault, fleet: MeasuredFleet, notes: dict[str, object]) -> None:
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -119,19 +119,14 @@
     """Return the cost of control per process by fleet size, and the line at the target size."""
     points = []
     for run in runs:
-        per_role = run.step.size / len(ROLES)
-        idle = [run.idle[role] for role in ROLES]
+        size = run.step.size
+        processor_s = sum(run.idle[role].processor_s for role in ROLES)
         points.append(
             {
-                "processes": run.step.size,
-                "processor_share": round(
-                    sum(usage.processor_s for usage in idle) / run.step.size, 5
-                ),
-                "rss_bytes": max(usage.rss_bytes for usage in idle),
-                "bytes_per_s": round(idle[0].loopback_bytes / run.step.size),
-                "aggregator_processor_share": round(
-                    run.idle["aggregator"].processor_s / per_role, 5
-                ),
+                "processes": size,
+                "processor_share": round(processor_s / size, 5),
+                "rss_bytes": max(run.idle[role].rss_bytes for role in ROLES),
+                "bytes_per_s": round(run.idle_bytes_per_s / size),
             }
         )
     found: dict[str, object] = {"points": points, "slopes": {}, "at_460": {}}
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -25,7 +25,8 @@
     from fighinge.configuration.base import HostEntry
 
 FIRST_CONTROL_PORT = 8900
-STATUS_PORTS = {"entry": 8060, "aggregator": 8061}
+STATUS_PORTS = {"entry": 8070, "aggregator": 8071}
+HURRY_PAUSE_S = 0.2
 START_TIMEOUT_S = 15.0
 CONTROL_TIMEOUT_S = 10.0
 
@@ -71,10 +72,12 @@
         return self
 
     async def __aexit__(self, *_error: object) -> None:
-        """Stop everything, by force where it does not stop by itself."""
-        for process in self.processes.values():
-            if process.returncode is None:
-                process.send_signal(signal.SIGCONT)
+        """Stop everything in a hurry, by force where it does not stop by itself."""
+        for number in (signal.SIGCONT, signal.SIGTERM):
+            for process in self.processes.values():
+                if process.returncode is None:
+                    process.send_signal(number)
+        await asyncio.sleep(HURRY_PAUSE_S)
         try:
             await self.stop()
         except TimeoutError:
@@ -191,6 +194,10 @@
             if not isinstance(answer, BaseException)
         ]
 
+    async def sent_bytes(self) -> int:
+        """Return what all processes have sent as datagrams."""
+        return sum(view.sent_bytes for view in await self.views())
+
     async def publish_patch(self, operations: list[dict]) -> int:
         """Publish a patch as an operator does and return the version that it makes."""
         self.patches += 1
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -21,6 +21,7 @@
 
 CALLERS_PER_ZONE = 4
 LIMITS = (5, 30)
+CITY_SHARE = 0.5
 
 
 class Stream(msgspec.Struct, frozen=True, kw_only=True):
@@ -70,21 +71,25 @@
 
 
 def draw_request(stream: Stream, number: int, source: random.Random) -> QueryRequest:
-    """Draw a request; the name of its facet makes it unlike every other."""
-    wanted: dict[str, str] = {}
-    if source.random() < 0.5:
-        wanted["city"] = source.choice(CITIES)
+    """Draw a request: one of the few that crash, or one that a facet makes unlike all others."""
+    request_id = f"{stream.service}-{source.getrandbits(64):016x}"
     if stream.crash_marks:
         wanted = {"crash": f"mark-{number % stream.crash_marks}"}
+        return QueryRequest(request_id=request_id, filter=_raw(wanted))
+    wanted = {"city": source.choice(CITIES)} if source.random() < CITY_SHARE else {}
     return QueryRequest(
-        request_id=f"{stream.service}-{source.getrandbits(64):016x}",
-        filter=msgspec.Raw(msgspec.json.encode(wanted)),
+        request_id=request_id,
+        filter=_raw(wanted),
         limit=source.randint(*LIMITS),
         facets=(f"salt-{source.getrandbits(48):012x}",),
         repeatable=stream.repeatable,
     )
 
 
+def _raw(wanted: dict[str, str]) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(wanted))
+
+
 async def run_stream(
     stream: Stream, callers: Callers, seed: int, duration_s: float, take: Callable[[Sample], None]
 ) -> None:
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -91,3 +91,9 @@
     spread = sum((x - mean_x) ** 2 for x, _y in points) or 1.0
     gradient = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
     return gradient, mean_y - gradient * mean_x
+
+
+def worst_deviation(points: list[tuple[float, float]], gradient: float, intercept: float) -> float:
+    """Return how far a point lies off a line at most, as a share of the largest value."""
+    largest = max(abs(y) for _x, y in points) or 1.0
+    return max(abs(y - gradient * x - intercept) for x, y in points) / largest
--- a/benchmarks/usage.py
+++ b/benchmarks/usage.py
@@ -1,4 +1,4 @@
-"""Processor time, memory and loopback traffic, read from the kernel."""
+"""Processor time and memory, read from the kernel."""
 
 from __future__ import annotations
 
@@ -16,21 +16,14 @@
 
     processor_s: float
     rss_bytes: int
-    loopback_bytes: int
 
     def since(self, earlier: Usage) -> Usage:
         """Return what was used since an earlier reading."""
-        return Usage(
-            self.processor_s - earlier.processor_s,
-            self.rss_bytes,
-            self.loopback_bytes - earlier.loopback_bytes,
-        )
+        return Usage(self.processor_s - earlier.processor_s, self.rss_bytes)
 
     def per(self, seconds: float) -> Usage:
         """Return what was used in each of some seconds."""
-        return Usage(
-            self.processor_s / seconds, self.rss_bytes, round(self.loopback_bytes / seconds)
-        )
+        return Usage(self.processor_s / seconds, self.rss_bytes)
 
 
 def read_usage(pids: list[int]) -> Usage:
@@ -43,12 +36,4 @@
             continue
         processor_s += (int(stat[11]) + int(stat[12])) / TICKS_PER_S
         rss_bytes = max(rss_bytes, int(stat[21]) * PAGE_BYTES)
-    return Usage(processor_s, rss_bytes, _loopback_bytes())
-
-
-def _loopback_bytes() -> int:
-    for line in Path("/proc/net/dev").read_text().splitlines():
-        name, _colon, counts = line.partition(":")
-        if name.strip() == "lo":
-            return int(counts.split()[0])
-    return 0
+    return Usage(processor_s, rss_bytes)
