--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -60,7 +60,7 @@
 
     async def act(fleet: MeasuredFleet, notes: dict[str, object]) -> None:
         path = f"/zones/{zone}/in_service"
-        await fleet.publish_patch([{"op": "replace", "path": path, "value": in_service}])
+        await fleet.publish_patch([{"op": "add", "path": path, "value": in_service}])
         notes[f"{zone}_{'in' if in_service else 'out'}_s"] = time.monotonic()
 
     return Fault(at_s, f"{zone} {'back in' if in_service else 'out of'} service", act)
