Send each HTTP request at most once, and move on only where it has not run

Cause: libcurl checks whether a kept connection is open only if that was idle for a second; within it, a request met the closed connection and its outcome was unknown although nothing was sent. A connect timeout looked like a request that timed out. Change: fetch_once looks at the connection in libcurl's pre-request callback: a closed one is left for a new one, a second sending of the same request is stopped, and "sent" is known exactly.

--- a/fighinge/aggregator/http_client.py
+++ b/fighinge/aggregator/http_client.py
@@ -5,12 +5,10 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-import pycurl
-from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
-from fighinge.curl import UNSENT_CODES, create_client, refuse_rewind
+from fighinge.curl import TransferFailure, create_client, fetch_once
 from fighinge.messages import (
     BackendAnswer,
     BackendCancel,
@@ -88,28 +86,25 @@
             headers=JSON_HEADERS,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
-            prepare_curl_callback=refuse_rewind,
         )
         return await self._fetch(request)
 
     async def _fetch(self, request: HTTPRequest) -> HTTPResponse | CallFailure:
-        try:
-            return await self._client.fetch(request, raise_error=False)
-        except CurlError as error:
-            return _failure(error)
+        response = await fetch_once(self._client, request)
+        if isinstance(response, TransferFailure):
+            return _failure(response)
+        return response
 
 
 def _url(address: Address, path: str) -> str:
     return f"http://{address.host}:{address.port}{path}"
 
 
-def _failure(error: CurlError) -> CallFailure:
-    reason = str(error)
-    if error.errno in UNSENT_CODES:
-        return CallFailure(CallFault.NOT_CONNECTED, reason)
-    if error.errno == pycurl.E_OPERATION_TIMEDOUT:
-        return CallFailure(CallFault.TIMEOUT, reason)
-    return CallFailure(CallFault.CONNECTION_LOST, reason)
+def _failure(failure: TransferFailure) -> CallFailure:
+    if not failure.sent:
+        return CallFailure(CallFault.NOT_CONNECTED, failure.reason)
+    fault = CallFault.TIMEOUT if failure.timed_out else CallFault.CONNECTION_LOST
+    return CallFailure(fault, failure.reason)
 
 
 def _decode(body: bytes, message_type: type):
--- a/fighinge/curl.py
+++ b/fighinge/curl.py
@@ -2,14 +2,65 @@
 
 from __future__ import annotations
 
+import socket
+from typing import TYPE_CHECKING
+
+import msgspec
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+
+if TYPE_CHECKING:
+    from tornado.httpclient import HTTPRequest, HTTPResponse
+
+
+class TransferFailure(msgspec.Struct, frozen=True):
+    """A sentinel for a request without a response.
 
-UNSENT_CODES = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
+    ``sent`` is false only where it is certain that nothing of the request was sent.
+    """
+
+    reason: str
+    sent: bool
+    timed_out: bool
 
 
 class CurlClient(CurlAsyncHTTPClient):
-    """A client that may be closed while requests are outstanding."""
+    """A client that may be closed while requests are outstanding.
+
+    It knows the sockets of its connections, since libcurl checks whether a connection is still
+    open only if that was idle for a second.
+    """
+
+    def initialize(self, *args: object, **kwargs: object) -> None:
+        """Set the client up; tornado calls this in place of a constructor."""
+        self._fd_by_port: dict[int, int] = {}
+        self._port_by_fd: dict[int, int] = {}
+        super().initialize(*args, **kwargs)
+
+    def is_open(self, local_port: int) -> bool:
+        """Return whether the connection from a local port is open, as far as is known."""
+        fd = self._fd_by_port.get(local_port)
+        if fd is None:
+            return True
+        try:
+            return _is_quiet(fd, local_port)
+        except OSError:
+            return False
+
+    def _handle_socket(self, event: int, fd: int, multi: pycurl.CurlMulti, data: object) -> None:
+        if event != pycurl.POLL_REMOVE and fd not in self._fds:
+            self._note_socket(fd)
+        super()._handle_socket(event, fd, multi, data)
+
+    def _note_socket(self, fd: int) -> None:
+        """Remember a connection's port; libcurl also watches files that are no sockets."""
+        self._fd_by_port.pop(self._port_by_fd.pop(fd, 0), None)
+        try:
+            port = _local_port(fd)
+        except OSError:
+            return
+        self._port_by_fd[fd] = port
+        self._fd_by_port[port] = fd
 
     def _handle_timeout(self) -> None:
         if self._multi is not None:
@@ -21,6 +72,31 @@
     return CurlClient(force_instance=True, max_clients=max_concurrent_calls)
 
 
+async def fetch_once(client: CurlClient, request: HTTPRequest) -> HTTPResponse | TransferFailure:
+    """Send a request at most once and return the response, whatever its status.
+
+    A request that meets a closed connection before anything of it was sent goes over a new one.
+    All requests of a client must go this way, since it keeps options from one to the next.
+    """
+    sending = _Sending(client)
+    result = await _fetch(client, request, sending)
+    if sending.met_closed:
+        sending = _Sending(client, fresh_connection=True)
+        result = await _fetch(client, request, sending)
+    return result
+
+
+async def _fetch(
+    client: CurlClient, request: HTTPRequest, sending: _Sending
+) -> HTTPResponse | TransferFailure:
+    request.prepare_curl_callback = sending.prepare
+    try:
+        return await client.fetch(request, raise_error=False)
+    except CurlError as error:
+        timed_out = error.errno == pycurl.E_OPERATION_TIMEDOUT
+        return TransferFailure(str(error), sending.started, timed_out)
+
+
 def refuse_rewind(curl: pycurl.Curl) -> None:
     """Make libcurl fail where it would silently send a request body a second time.
 
@@ -30,5 +106,57 @@
     curl.setopt(pycurl.SEEKFUNCTION, _fail_seek)
 
 
+class _Sending:
+    """Notes when libcurl is about to send a request.
+
+    Stops it the second time, and where the connection has been closed already.
+    """
+
+    __slots__ = ("_client", "_fresh_connection", "met_closed", "started")
+
+    def __init__(self, client: CurlClient, *, fresh_connection: bool = False) -> None:
+        self._client = client
+        self._fresh_connection = fresh_connection
+        self.started = False
+        self.met_closed = False
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Take part in a transfer."""
+        refuse_rewind(curl)
+        curl.setopt(pycurl.FRESH_CONNECT, int(self._fresh_connection))
+        curl.setopt(pycurl.PREREQFUNCTION, self._about_to_send)
+
+    def _about_to_send(self, _peer: str, _local: str, _peer_port: int, local_port: int) -> int:
+        if self.started:
+            return pycurl.PREREQFUNC_ABORT
+        if not self._client.is_open(local_port):
+            self.met_closed = True
+            return pycurl.PREREQFUNC_ABORT
+        self.started = True
+        return pycurl.PREREQFUNC_OK
+
+
+def _local_port(fd: int) -> int:
+    borrowed = socket.socket(fileno=fd)
+    try:
+        return borrowed.getsockname()[1]
+    finally:
+        borrowed.detach()
+
+
+def _is_quiet(fd: int, local_port: int) -> bool:
+    """Return whether nothing, not even an end, has arrived on a socket before a request."""
+    borrowed = socket.socket(fileno=fd)
+    try:
+        if borrowed.getsockname()[1] != local_port:
+            return True
+        borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    finally:
+        borrowed.detach()
+    return False
+
+
 def _fail_seek(_offset: int, _origin: int) -> int:
     return pycurl.SEEKFUNC_FAIL
--- /dev/null
+++ b/tests/entries.py
@@ -0,0 +1,135 @@
+"""Stand-in entries for tests of callers."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from fighinge.entry.query_service import query_error
+from fighinge.errors import ANSWERS, ErrorKind, Failure
+from fighinge.queries import (
+    Coverage,
+    EntriesAnswer,
+    EntryAddress,
+    QueryAnswer,
+    QueryRequest,
+    SnapshotName,
+)
+
+TICKETS_IN_ANSWER = 2
+REFUSALS = {
+    "is not ready": ErrorKind.NOT_READY,
+    "is stopping": ErrorKind.STOPPING,
+    "is out": ErrorKind.ZONE_OUT,
+    "is overloaded": ErrorKind.OVERLOADED,
+}
+
+
+class StandinEntry:
+    """An entry that answers, refuses or fails as it is told; it counts what ran."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.fault = "answers"
+        self.asked = 0
+        self.requests: list[QueryRequest] = []
+        self.peers: list[StandinEntry] = [self]
+        self._sockets: list[socket.socket] = []
+        application = Application(
+            [
+                (r"/v1/entries", _EntriesHandler, {"entry": self}),
+                (r"/v1/services/desk/query", _QueryHandler, {"entry": self}),
+            ],
+            log_function=lambda _handler: None,
+        )
+        self._server = HTTPServer(application)
+        listening, self.port = bind_unused_port()
+        self._listening = listening
+        self._server.add_socket(listening)
+
+    @property
+    def url(self) -> str:
+        """Return where the entry listens."""
+        return f"http://127.0.0.1:{self.port}"
+
+    async def fail(self, fault: str) -> None:
+        """Behave in another way from now on."""
+        self.fault = fault
+        if fault in ("does not listen", "accepts nothing"):
+            self._server.stop()
+            await self._server.close_all_connections()
+        if fault == "accepts nothing":
+            self._fill_backlog()
+
+    async def close(self) -> None:
+        """Stop serving."""
+        if self.fault not in ("does not listen", "accepts nothing"):
+            self._server.stop()
+        await self._server.close_all_connections()
+        for sock in self._sockets:
+            sock.close()
+
+    def _fill_backlog(self) -> None:
+        """Listen with a full queue, so that further connections hang."""
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(("127.0.0.1", self.port))
+        listening.listen(0)
+        self._sockets.append(listening)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(("127.0.0.1", self.port))
+            self._sockets.append(filler)
+
+
+class _Handler(RequestHandler):
+    def initialize(self, entry: StandinEntry) -> None:
+        self.entry = entry
+
+
+class _EntriesHandler(_Handler):
+    def get(self) -> None:
+        entry = self.entry
+        entry.asked += 1
+        addresses = [EntryAddress(peer.name, "z1", peer.url) for peer in entry.peers]
+        tickets = [f"{entry.name}/i/{entry.asked}{n}/0/x" for n in range(TICKETS_IN_ANSWER)]
+        answer = EntriesAnswer(entries=addresses, keep_s=60.0, tickets=tickets)
+        self.finish(msgspec.json.encode(answer))
+
+
+class _QueryHandler(_Handler):
+    def post(self) -> None:
+        entry = self.entry
+        request = msgspec.json.decode(self.request.body, type=QueryRequest)
+        kind = REFUSALS.get(entry.fault)
+        if kind is not None:
+            error = query_error(request.request_id, Failure(kind, entry.fault))
+            self.set_status(ANSWERS[kind].http_status)
+            self.finish(msgspec.json.encode(error))
+            return
+        entry.requests.append(request)
+        if entry.fault == "drops when running":
+            self._finished = True
+            self.request.connection.stream.close()
+        elif entry.fault == "answers nonsense":
+            self.finish(b"nonsense")
+        else:
+            self.finish(msgspec.json.encode(_answer(request)))
+
+
+def _answer(request: QueryRequest) -> QueryAnswer:
+    return QueryAnswer(
+        request_id=request.request_id,
+        snapshot=SnapshotName("c", 1),
+        records=[],
+        total=0,
+        facets={},
+        coverage=Coverage(1.0, ["s0"], [], "all 1 shards"),
+    )
