--- a/fighinge/aggregator/stream_server.py
+++ b/fighinge/aggregator/stream_server.py
@@ -34,6 +34,7 @@
 logger = logbook.Logger(__name__)
 
 STATUS_INTERVAL_S = 0.5
+STATUS_REPEAT_S = 60.0
 MAX_RUNNING_SUB_QUERIES = 2000
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 CLOSE_GRACE_S = 0.2
@@ -224,10 +225,18 @@
         await self._server.stop(CLOSE_GRACE_S)
 
     async def _announce(self) -> None:
-        """Tell every entry of the groups whose status has changed, again and again."""
+        """Tell every entry of the groups whose status has changed, again and again.
+
+        Unchanged ones are repeated before entries take them for stale.
+        """
+        clock = asyncio.get_running_loop().time
+        repeated_s = clock()
         while True:
             await asyncio.sleep(STATUS_INTERVAL_S)
             statuses = self._service.statuses()
+            if clock() - repeated_s >= STATUS_REPEAT_S:
+                repeated_s = clock()
+                self._announced.clear()
             changed = [status for status in statuses if self._announced.get(status.group) != status]
             if changed:
                 self._announced = {status.group: status for status in statuses}
--- a/fighinge/cmd/aggregator.py
+++ b/fighinge/cmd/aggregator.py
@@ -8,18 +8,22 @@
 import defopt
 import logbook
 
+from fighinge.aggregator.admitted import AdmittedSubQueries
 from fighinge.aggregator.http_client import HttpBackendClient
 from fighinge.aggregator.policy import Policy
 from fighinge.aggregator.service import AggregatorService
 from fighinge.aggregator.stream_server import StreamServer
-from fighinge.process import Node, run_process, wait_for_stop
+from fighinge.process import Node, run_process
 
 if TYPE_CHECKING:
     from fighinge.settings import Settings
 
 logger = logbook.Logger(__name__)
 
-STOP_GRACE_S = 5.0
+LEAVE_S = 1.0
+FINISH_LIMIT_S = 65.0
+FLUSH_S = 0.5
+STOP_GRACE_S = 0.2
 
 
 def aggregator(settings_file: str, *, check_settings: bool = False) -> None:
@@ -41,22 +45,36 @@
         name=settings.address,
         zone=settings.zone,
         fleet=node.fleet,
+        facts=node.board,
         policy=Policy.named(settings.aggregator_policy),
     )
     node.store.listen(lambda accepted: service.configure(accepted.document))
-    server = StreamServer(service)
+    node.status.set_cold(lambda: _cold(service))
+    admitted = AdmittedSubQueries(service, node.admission)
+    server = StreamServer(admitted)
     node.start()
     node.spawn(service.poll_states())
     await server.start(settings.address, settings.aggregator_port)
     logger.info("aggregator listens on {}:{}", settings.address, settings.aggregator_port)
-    await wait_for_stop()
+    await node.stop_request.wait()
+    logger.notice("aggregator stops")
+    node.membership.leave()
+    await node.stop_request.pause(min(settings.keep_s, LEAVE_S))
     service.stop()
+    if not await admitted.running.finished(FINISH_LIMIT_S):
+        logger.error("{} sub-queries were cut off", len(admitted.running))
+    await asyncio.sleep(FLUSH_S)
     await server.stop(STOP_GRACE_S)
     await node.stop()
     client.close()
     logger.info("aggregator stopped")
 
 
+def _cold(service: AggregatorService) -> list[str]:
+    servers = {name: server for group in service.groups() for name, server in group.servers.items()}
+    return [name for name, server in servers.items() if server.cold_start.is_cold]
+
+
 def main() -> None:
     """Run the command."""
     defopt.run(aggregator)
--- a/fighinge/curl.py
+++ b/fighinge/curl.py
@@ -13,6 +13,9 @@
     from tornado.httpclient import HTTPRequest, HTTPResponse
 
 
+MAX_KEPT_CONNECTIONS = 2048
+
+
 class TransferFailure(msgspec.Struct, frozen=True):
     """A sentinel for a request without a response.
 
@@ -25,10 +28,11 @@
 
 
 class CurlClient(CurlAsyncHTTPClient):
-    """A client that may be closed while requests are outstanding.
+    """A client that keeps its connections and may be closed while requests are outstanding.
 
-    It knows the sockets of its connections, since libcurl checks whether a connection is still
-    open only if that was idle for a second.
+    By itself libcurl keeps four connections for each request that is outstanding at the moment
+    and closes the rest, so that a quiet moment costs most of them. It also checks whether a
+    connection is still open only if that was idle for a second; the client looks at the socket.
     """
 
     def initialize(self, *args: object, **kwargs: object) -> None:
@@ -36,6 +40,7 @@
         self._fd_by_port: dict[int, int] = {}
         self._port_by_fd: dict[int, int] = {}
         super().initialize(*args, **kwargs)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_KEPT_CONNECTIONS)
 
     def is_open(self, local_port: int) -> bool:
         """Return whether the connection from a local port is open, as far as is known."""
@@ -73,7 +78,7 @@
 
 
 async def fetch_once(client: CurlClient, request: HTTPRequest) -> HTTPResponse | TransferFailure:
-    """Send a request at most once and return the response, whatever its status.
+    """Send a request at most once and return the response, without its headers.
 
     A request that meets a closed connection before anything of it was sent goes over a new one.
     All requests of a client must go this way, since it keeps options from one to the next.
@@ -106,6 +111,15 @@
     curl.setopt(pycurl.SEEKFUNCTION, _fail_seek)
 
 
+def ignore_headers(curl: pycurl.Curl) -> None:
+    """Spare the decoding of response headers that nobody reads."""
+    curl.setopt(pycurl.HEADERFUNCTION, _ignore)
+
+
+def _ignore(_line: bytes) -> None:
+    return None
+
+
 class _Sending:
     """Notes when libcurl is about to send a request.
 
@@ -123,6 +137,7 @@
     def prepare(self, curl: pycurl.Curl) -> None:
         """Take part in a transfer."""
         refuse_rewind(curl)
+        ignore_headers(curl)
         curl.setopt(pycurl.FRESH_CONNECT, int(self._fresh_connection))
         curl.setopt(pycurl.PREREQFUNCTION, self._about_to_send)
 
--- a/fighinge/settings.py
+++ b/fighinge/settings.py
@@ -19,7 +19,10 @@
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
     """What a process learns from its settings file.
 
-    ``address`` is the host's own IP number; ports are the same on every host.
+    ``address`` is the host's own IP number; ports are the same on every host. ``gossip_key``
+    is a secret that the fleet's datagrams are checked with, ``gossip_seeds`` are hosts to ask
+    beside those on the platform's list. Callers keep an answer on which
+    entries to use for ``keep_s``, and a stopping process serves on for as long.
     """
 
     address: str
@@ -29,6 +32,9 @@
     aggregator_port: int = 8090
     entry_gossip_port: int = 8070
     aggregator_gossip_port: int = 8071
+    gossip_key: str = ""
+    gossip_seeds: tuple[str, ...] = ()
+    keep_s: float = 10.0
     log_format: str = "text"
     log_level: str = "INFO"
     aggregator_policy: str = "full"
@@ -43,6 +49,8 @@
         "entry_gossip": "entry_gossip_port",
         "aggregator_gossip": "aggregator_gossip_port",
     },
+    "gossip": {"key": "gossip_key", "seeds": "gossip_seeds"},
+    "stop": {"keep_s": "keep_s"},
     "log": {"format": "log_format", "level": "log_level"},
     "aggregator": {"policy": "aggregator_policy"},
 }
@@ -88,6 +96,10 @@
 def _value(name: str, text: str) -> object | None:
     if name.endswith("_port"):
         return int(text) if text.isdecimal() and 1 <= int(text) <= 65535 else None
+    if name == "gossip_seeds":
+        return _hosts(text)
+    if name == "keep_s":
+        return _seconds(text)
     if name == "address":
         return text if _is_ip(text) else None
     if name == "platform_url":
@@ -97,6 +109,19 @@
     return text or None
 
 
+def _hosts(text: str) -> tuple[str, ...] | None:
+    hosts = tuple(host.strip() for host in text.split(","))
+    return hosts if all(_is_ip(host) for host in hosts) else None
+
+
+def _seconds(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value <= 3600 else None
+
+
 def _is_ip(text: str) -> bool:
     try:
         ipaddress.ip_address(text)
--- a/tests/systems.py
+++ b/tests/systems.py
@@ -40,7 +40,7 @@
     aggregator.configure(configured)
     polling = asyncio.create_task(aggregator.poll_states())
     service = QueryService(
-        "e1", OneAggregator(), DirectLinks({"a1": aggregator}), SnapshotChooser(), clock
+        "e1", OneAggregator(), DirectLinks({"a1": aggregator}), SnapshotChooser(clock), clock
     )
     service.configure(1, configured)
     await asyncio.sleep(SETTLE_S)
