--- a/fighinge/aggregator/replica_group.py
+++ b/fighinge/aggregator/replica_group.py
@@ -269,7 +269,10 @@
             self._spawn(self.poll(server))
         elif isinstance(result, BackendAnswer):
             self.quarantine.answered(fingerprint, self.servers)
+        known = server.process_id
         server.finished(fingerprint, query_class, result, took_s, now_s)
+        if server.process_id != known:
+            self._greet(server, now_s)
         if _shows_latency(result):
             self._queue.observe(query_class, took_s)
             self._hedge_delay(query_class).record(took_s)
--- a/tests/backend_builders.py
+++ b/tests/backend_builders.py
@@ -46,6 +46,29 @@
     return built
 
 
+async def ask(service, document, request_id, *, repeatable=True, call=1):
+    """Send a sub-query for the only shard and return its outcome."""
+    done = asyncio.get_running_loop().create_future()
+    shards = GroupMap.from_document(document).shards_by_group(document, "c", 1)
+    sub_query = SubQuery(
+        call=call,
+        request_id=request_id,
+        service="desk",
+        collection="c",
+        index_version=1,
+        query_class="desk",
+        tenant="t1",
+        groups=tuple(GroupShards(name, names) for name, names in shards.items()),
+        search=Search(),
+        remaining_s=2.0,
+        repeatable=repeatable,
+        fingerprint=request_id,
+        configuration_version=1,
+    )
+    service.submit(sub_query, lambda _call, outcome: done.set_result(outcome))
+    return await done
+
+
 class Bench:
     """One aggregator over stand-ins in the same process; runs in virtual time."""
 
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,110 @@
+"""Tests of the connections to a backend server, counted by it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import msgspec
+
+from fighinge.aggregator.base import Address, CallFailure, CallFault, proves_not_sent
+from fighinge.aggregator.connections import LimitedClient
+from fighinge.aggregator.http_client import HttpBackendClient
+from fighinge.aggregator.service import AggregatorService
+from fighinge.messages import BackendAnswer, BackendRequest, Search
+from fighinge.model import decode_document
+from tests.backend_builders import ask
+from tests.builders import raw_document
+from tests.raw_server import RawServer
+
+CONNECTION_LIMIT = 13
+SLOTS = 4
+
+
+def _request(number):
+    return BackendRequest(
+        call_id=str(number),
+        request_id=str(number),
+        collection="c",
+        index_version=1,
+        shards=("s0000",),
+        search=Search(),
+        remaining_ms=1000,
+    )
+
+
+def test_two_owners_stay_below_the_limit_on_the_wire():
+    async def run():
+        server = RawServer(Counter())
+        await server.start()
+        raw = raw_document(servers=1, shards=1)
+        raw["backend_servers"]["b0"] |= {
+            "port": server.port,
+            "connection_limit": CONNECTION_LIMIT,
+            "slots": SLOTS,
+        }
+        document = decode_document(msgspec.json.encode(raw))
+        clients = [HttpBackendClient.create() for _number in range(2)]
+        services = [
+            AggregatorService(client, asyncio.get_running_loop().time) for client in clients
+        ]
+        polls = []
+        for service in services:
+            service.configure(document)
+            polls.append(asyncio.create_task(service.poll_states()))
+        await asyncio.sleep(0.1)
+        server.work_s = 0.002
+        for _round in range(10):
+            asks = [
+                asyncio.create_task(ask(service, document, f"r{number}", call=number))
+                for service in services
+                for number in range(20)
+            ]
+            await asyncio.sleep(0.005)
+            for service in services:
+                for number in range(4):
+                    service.cancel("", number)
+            _done, pending = await asyncio.wait(asks, timeout=0.1)
+            for task in pending:
+                task.cancel()
+        for poll in polls:
+            poll.cancel()
+        server.stop()
+        for client in clients:
+            client.close()
+        return server
+
+    server = asyncio.run(run())
+    assert sum(server.executions.values()) > 50
+    assert server.cancelled
+    assert SLOTS < server.peak_connections <= CONNECTION_LIMIT - 1
+    assert server.opened_connections <= CONNECTION_LIMIT - 1, "connections are kept"
+
+
+class SlowClient:
+    """A client whose calls take a while."""
+
+    async def search(self, address, request, timeout_s):
+        """Answer late."""
+        await asyncio.sleep(0.2)
+        return BackendAnswer("p")
+
+
+def test_call_without_a_free_connection_is_proven_not_sent():
+    async def run():
+        client = LimitedClient(SlowClient())
+        address = Address("127.0.0.1", 1)
+        client.set_quota(address, 1)
+        return await asyncio.gather(
+            client.search(address, _request(1), 1.0), client.search(address, _request(2), 0.1)
+        )
+
+    answered, refused = asyncio.run(run())
+    assert isinstance(answered, BackendAnswer)
+    assert refused.fault is CallFault.CONNECTION_LIMIT
+    assert proves_not_sent(refused)
+
+
+def test_only_a_missing_connection_proves_that_nothing_was_sent():
+    proofs = {fault for fault in CallFault if proves_not_sent(CallFailure(fault, ""))}
+    assert proofs == {CallFault.NOT_CONNECTED, CallFault.CONNECTION_LIMIT}
