Expect a handed-over group's servers to start at half their slots

The scenario let the first aggregator learn of the change, so that it tells the next owner what is warm; one call at once is the rule where nobody told it (the takeover without a stop).

--- a/tests/features/backends.feature
+++ b/tests/features/backends.feature
@@ -49,4 +49,4 @@
       | unmarked                                 | not_owner | 0     |
       | as a takeover                            | answered  | 1     |
       | as a takeover after a planned stop       | answered  | 2     |
-      | unmarked after the first left            | answered  | 1     |
+      | unmarked after the first hands it over   | answered  | 2     |
--- a/tests/features/steps/backends_steps.py
+++ b/tests/features/steps/backends_steps.py
@@ -177,7 +177,7 @@
         standin.process_id = first.standins[standin.name].process_id
     if how.endswith("planned stop"):
         first.service.stop()
-    if how.endswith("left"):
+    if how.endswith("hands it over"):
         view.names[:] = ["a2"]
         await second.settle()
     takeover = "takeover" in how
