Keep the decoded records of the stand-ins

Cause: a search with a new facet decoded 40 records anew, about 0.1 ms a shard, which the burst of a query's 25 calls paid in the three stand-in processes. Change: decoded rows are cached by shard and version.

--- a/standins/records.py
+++ b/standins/records.py
@@ -73,13 +73,9 @@
     search = msgspec.json.decode(raw_search, type=Search)
     wanted = msgspec.json.decode(search.filter)
     wanted = wanted if isinstance(wanted, dict) else {}
-    rows = [
-        (record, msgspec.json.decode(record.fields))
-        for record in generate(shard, from_key, index_version)
-    ]
     rows = [
         (record, fields)
-        for record, fields in rows
+        for record, fields in _rows(shard, from_key, index_version)
         if all(fields.get(name) == value for name, value in wanted.items())
     ]
     facets = {name: _count(rows, name) for name in search.facets}
@@ -90,6 +86,12 @@
     return ShardPart(shard, index_version, found[: search.limit], len(rows), facets)
 
 
+@functools.lru_cache(maxsize=4096)
+def _rows(shard: str, from_key: str, index_version: int) -> list[tuple[Record, dict]]:
+    records = generate(shard, from_key, index_version)
+    return [(record, msgspec.json.decode(record.fields)) for record in records]
+
+
 def _misplaced(shard: str, snapshot: Snapshot) -> tuple[Record, ...]:
     """Return the records of the shard behind this one, which are not its own."""
     names = list(snapshot.shards)
