Check settings by a table with help, and let operators compare views

Change: one table of settings with parser, help and default; errors name file, section and key and say what the value must be; fighinge-ctl check lists changes with old values, status asks every process and prints where views differ (exit code 3), explain tells of one name. Checked: 34 unit tests; status, explain and check against a running demo fleet.

--- a/fighinge/cmd/aggregator.py
+++ b/fighinge/cmd/aggregator.py
@@ -14,6 +14,7 @@
 from fighinge.aggregator.service import AggregatorService
 from fighinge.aggregator.stream_server import StreamServer
 from fighinge.process import Node, run_process
+from fighinge.settings import with_settings_help
 
 if TYPE_CHECKING:
     from fighinge.settings import Settings
@@ -26,6 +27,7 @@
 STOP_GRACE_S = 0.2
 
 
+@with_settings_help
 def aggregator(settings_file: str, *, check_settings: bool = False) -> None:
     """Run an aggregator until SIGTERM.
 
--- a/fighinge/cmd/ctl.py
+++ b/fighinge/cmd/ctl.py
@@ -1,20 +1,31 @@
-"""Operators' command: checks patches and shows the configuration."""
+"""Operators' command: checks patches, shows the configuration and what processes believe."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import defopt
+import jsonpatch
+import jsonpointer
 import msgspec
 
 from fighinge.configuration.history import Acceptance, accept, apply_patch
 from fighinge.configuration.platform_client import PlatformClient
 from fighinge.configuration.watcher import KEY_PREFIX
 from fighinge.errors import Failure
+from fighinge.groups import GroupMap
+from fighinge.settings import DEFAULTS
+from fighinge.views import Views, ask_views, differences
+
+if TYPE_CHECKING:
+    from fighinge.model import Document
 
 EXIT_REFUSED = 1
+EXIT_DIFFERENT = 3
+SHOWN_CHARS = 80
 
 
 def show(*, platform: str) -> None:
@@ -30,7 +41,7 @@
 
 
 def check(patch_file: Path, *, platform: str) -> None:
-    """Tell whether a patch would be accepted.
+    """Tell whether a patch would be accepted, and what it changes.
 
     :param patch_file: file with the patch as it would be published
     :param platform: URL of the platform
@@ -40,24 +51,154 @@
     if isinstance(result, Failure):
         _exit(result)
     print(f"would be accepted as version {result.version}")
+    for line in changes(acceptance.accepted.raw, result.raw):
+        print(line)
+
+
+def status(
+    *,
+    platform: str,
+    entry_port: int = DEFAULTS["entry_gossip_port"],
+    aggregator_port: int = DEFAULTS["aggregator_gossip_port"],
+) -> None:
+    """Print what every process on the platform's host list believes, and where views differ.
+
+    :param platform: URL of the platform
+    :param entry_port: port of the entries' status
+    :param aggregator_port: port of the aggregators' status
+    """
+    views = _views(platform, entry_port, aggregator_port)
+    for view in views.answered.values():
+        alive = sum(member.state == "alive" for member in view.members)
+        print(
+            f"{view.name} in {view.zone}: configuration version {view.configuration_version}"
+            f"{'' if view.configuration_confirmed else ' (not confirmed)'}, "
+            f"{alive} of {len(view.members)} members alive, {len(view.groups_owned)} groups owned"
+            f"{', leaving' if view.leaving else ''}"
+        )
+        if view.cold:
+            print(f"  cold: {', '.join(view.cold)}")
+        if view.quarantined:
+            print(f"  quarantined: {', '.join(view.quarantined)}")
+    for url, reason in views.silent.items():
+        print(f"{url} does not answer: {reason}")
+    lines = differences(views.answered.values())
+    print("views differ:" if lines else "all views agree")
+    for line in lines:
+        print(f"  {line}")
+    if lines or views.silent:
+        sys.exit(EXIT_DIFFERENT)
+
+
+def explain(
+    name: str,
+    *,
+    platform: str,
+    entry_port: int = DEFAULTS["entry_gossip_port"],
+    aggregator_port: int = DEFAULTS["aggregator_gossip_port"],
+) -> None:
+    """Print what is known of a service, shard, backend server or replica group.
+
+    :param name: its name
+    :param platform: URL of the platform
+    :param entry_port: port of the entries' status
+    :param aggregator_port: port of the aggregators' status
+    """
+    document = _acceptance(platform).accepted.document
+    group_map = GroupMap.from_document(document)
+    lines = describe(document, group_map, name)
+    if not lines:
+        print(f"nothing is named {name!r}", file=sys.stderr)
+        sys.exit(EXIT_REFUSED)
+    print("\n".join(lines))
+    groups = {
+        group.name
+        for group in group_map.groups.values()
+        if any(group.name in line for line in lines)
+    }
+    views = _views(platform, entry_port, aggregator_port)
+    for view in views.answered.values():
+        for group in sorted(groups & set(view.groups_owned)):
+            cold = sorted(set(group_map.groups[group].backend_servers) & set(view.cold))
+            print(f"{view.name} owns {group}; cold there: {', '.join(cold) or 'none'}")
+
+
+def changes(raw_before: bytes, raw_after: bytes) -> list[str]:
+    """Return a line on each value of a document that changes, with its old value."""
+    before, after = msgspec.json.decode(raw_before), msgspec.json.decode(raw_after)
+    lines = []
+    for operation in jsonpatch.make_patch(before, after):
+        path = operation["path"]
+        old = jsonpointer.resolve_pointer(before, operation.get("from", path), None)
+        new = operation.get("value", old)
+        if operation["op"] == "remove":
+            lines.append(f"removes {path}: {_short(old)}")
+        elif operation["op"] == "add":
+            lines.append(f"adds {path}: {_short(new)}")
+        elif operation["op"] == "move":
+            lines.append(f"moves {operation['from']} to {path}")
+        else:
+            lines.append(f"changes {path}: {_short(old)} to {_short(new)}")
+    return lines
+
+
+def describe(document: Document, group_map: GroupMap, name: str) -> list[str]:
+    """Return what the configuration says of whatever has a name."""
+    lines = []
+    service = document.services.get(name)
+    if service is not None:
+        lines.append(f"service {name}: {_short(msgspec.to_builtins(service))}")
+    server = document.backend_servers.get(name)
+    if server is not None:
+        in_service = document.zones[server.zone].in_service
+        lines.append(f"backend server {name}: {_short(msgspec.to_builtins(server))}")
+        lines.append(f"  zone {server.zone} is {'in' if in_service else 'out of'} service")
+        lines.append(f"  in replica group {group_map.group_of(name)}")
+    group = group_map.groups.get(name)
+    if group is not None:
+        lines.append(f"replica group {name}: {', '.join(group.backend_servers)}")
+    for collection_name, collection in document.collections.items():
+        for snapshot in collection.snapshots:
+            shard = snapshot.shards.get(name)
+            if shard is not None:
+                lines.append(
+                    f"shard {name} of {collection_name} at index version "
+                    f"{snapshot.index_version}: keys {shard.from_key!r} to {shard.to_key!r}, "
+                    f"at {', '.join(shard.replicas)}"
+                )
+                lines.append(f"  in replica group {group_map.group_of(shard.replicas[0])}")
+    return lines
+
+
+def _short(value: object) -> str:
+    text = msgspec.json.encode(value).decode()
+    return text if len(text) <= SHOWN_CHARS else f"{text[:SHOWN_CHARS]}..."
+
+
+def _views(platform: str, entry_port: int, aggregator_port: int) -> Views:
+    hosts = asyncio.run(_with_platform(platform, lambda client: client.hosts()))
+    if isinstance(hosts, Failure):
+        _exit(hosts)
+    urls = [
+        f"http://{host.address}:{port}" for host in hosts for port in (entry_port, aggregator_port)
+    ]
+    return asyncio.run(ask_views(urls))
 
 
 def _acceptance(platform: str) -> Acceptance:
-    acceptance = asyncio.run(_read(platform))
+    values = asyncio.run(_with_platform(platform, lambda client: client.read(KEY_PREFIX, 0, 0.0)))
+    acceptance = values if isinstance(values, Failure) else accept(values.values)
     if isinstance(acceptance, Failure):
         _exit(acceptance)
     return acceptance
 
 
-async def _read(platform: str) -> Acceptance | Failure:
+async def _with_platform(platform: str, read):
     client = PlatformClient(platform, "ctl")
     try:
-        values = await client.read(KEY_PREFIX, 0, 0.0)
+        return await read(client)
     finally:
         client.close()
-    if isinstance(values, Failure):
-        return values
-    return accept(values.values)
 
 
 def _exit(failure: Failure) -> None:
@@ -67,7 +208,7 @@
 
 def main() -> None:
     """Run the command."""
-    defopt.run([show, check])
+    defopt.run([show, check, status, explain])
 
 
 if __name__ == "__main__":
--- a/fighinge/cmd/entry.py
+++ b/fighinge/cmd/entry.py
@@ -19,6 +19,7 @@
 from fighinge.errors import ErrorKind, Failure
 from fighinge.metrics import QueryLabels
 from fighinge.process import Node, run_process
+from fighinge.settings import with_settings_help
 
 if TYPE_CHECKING:
     from fighinge.queries import EntriesAnswer, EntryAddress
@@ -32,6 +33,7 @@
 FLUSH_S = 0.1
 
 
+@with_settings_help
 def entry(settings_file: str, *, check_settings: bool = False) -> None:
     """Run an entry until SIGTERM.
 
--- a/fighinge/settings.py
+++ b/fighinge/settings.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import configparser
+import inspect
 import ipaddress
+import re
 from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
 
 import msgspec
 
 from fighinge.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
-Port = int
+MAX_SECONDS = 3600.0
+SEED_SEPARATOR = ","
+NAME = re.compile(r"[A-Za-z0-9_.-]{1,64}")
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,29 +46,14 @@
     aggregator_policy: str = "full"
 
 
-SECTIONS: dict[str, dict[str, str]] = {
-    "host": {"address": "address", "zone": "zone"},
-    "platform": {"url": "platform_url"},
-    "ports": {
-        "entry": "entry_port",
-        "aggregator": "aggregator_port",
-        "entry_gossip": "entry_gossip_port",
-        "aggregator_gossip": "aggregator_gossip_port",
-    },
-    "gossip": {"key": "gossip_key", "seeds": "gossip_seeds"},
-    "stop": {"keep_s": "keep_s"},
-    "log": {"format": "log_format", "level": "log_level"},
-    "aggregator": {"policy": "aggregator_policy"},
-}
-REQUIRED = (("host", "address"), ("host", "zone"), ("platform", "url"))
-AGGREGATOR_POLICIES = ("full", "plain")
-LOG_FORMATS = ("text", "json")
-LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
-CHOICES = {
-    "log_format": LOG_FORMATS,
-    "log_level": LOG_LEVELS,
-    "aggregator_policy": AGGREGATOR_POLICIES,
-}
+class Setting(msgspec.Struct, frozen=True):
+    """One key of a settings file; ``parse`` returns its value, or what it must be."""
+
+    section: str
+    key: str
+    field: str
+    help: str
+    parse: Callable[[str], object]
 
 
 def read_settings(path: Path) -> Settings | Failure:
@@ -70,75 +61,197 @@
 
     :returns: the settings, or a failure that names file, section and key
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         with path.open(encoding="utf-8") as file:
             parser.read_file(file)
     except (OSError, configparser.Error, UnicodeDecodeError) as error:
-        return Failure(ErrorKind.BAD_REQUEST, str(error), str(path))
+        return Failure(ErrorKind.BAD_REQUEST, " ".join(str(error).split()), str(path))
     fields: dict[str, object] = {}
     for section in parser.sections():
+        if all(setting.section != section for setting in SETTINGS):
+            return Failure(ErrorKind.BAD_REQUEST, "is not a section", f"{path}: [{section}]")
         for key, text in parser[section].items():
-            name = SECTIONS.get(section, {}).get(key)
-            if name is None:
-                return _failure(path, section, key, "is not a setting")
-            value = _value(name, text)
-            if value is None:
-                return _failure(path, section, key, f"cannot be {text!r}")
-            fields[name] = value
-    for section, key in REQUIRED:
-        if SECTIONS[section][key] not in fields:
-            return _failure(path, section, key, "is missing")
+            failure = _read_value(path, section, key, text, fields)
+            if failure is not None:
+                return failure
+    for setting in SETTINGS:
+        if setting.field in REQUIRED_FIELDS and setting.field not in fields:
+            return _failure(path, setting, "is missing")
     settings = Settings(**fields)
     return _check_ports(path, settings) or settings
 
 
-def _value(name: str, text: str) -> object | None:
-    if name.endswith("_port"):
-        return int(text) if text.isdecimal() and 1 <= int(text) <= 65535 else None
-    if name == "gossip_seeds":
-        return _hosts(text)
-    if name == "keep_s":
-        return _seconds(text)
-    if name == "address":
-        return text if _is_ip(text) else None
-    if name == "platform_url":
-        return text if text.startswith("http://") else None
-    if name in CHOICES:
-        return text if text in CHOICES[name] else None
-    return text or None
+def with_settings_help(command: Callable) -> Callable:
+    """Add a line on each setting to the help text of a command."""
+    summary, separator, parameters = inspect.cleandoc(command.__doc__).partition(":param")
+    command.__doc__ = f"{summary.strip()}\n\n{settings_help()}\n\n{separator}{parameters}"
+    return command
+
+
+def settings_help() -> str:
+    """Return a line on each setting, for a command's help."""
+    lines = ["Settings file (INI):", ""]
+    for setting in SETTINGS:
+        default = DEFAULTS.get(setting.field)
+        shown = "required" if setting.field in REQUIRED_FIELDS else f"default {default!r}"
+        lines.append(f"- [{setting.section}] {setting.key}: {setting.help}; {shown}")
+    return "\n".join(lines)
+
+
+def _read_value(
+    path: Path, section: str, key: str, text: str, fields: dict[str, object]
+) -> Failure | None:
+    for setting in SETTINGS:
+        if (setting.section, setting.key) != (section, key):
+            continue
+        value = setting.parse(text)
+        if isinstance(value, Failure):
+            return _failure(path, setting, f"is {text!r}, but {value.reason}")
+        fields[setting.field] = value
+        return None
+    return Failure(ErrorKind.BAD_REQUEST, "is not a setting", f"{path}: [{section}] {key}")
+
 
+def _wrong(reason: str) -> Failure:
+    return Failure(ErrorKind.BAD_REQUEST, reason)
 
-def _hosts(text: str) -> tuple[str, ...] | None:
-    hosts = tuple(host.strip() for host in text.split(","))
-    return hosts if all(_is_ip(host) for host in hosts) else None
 
+def _parse_port(text: str) -> int | Failure:
+    if not (text.isascii() and text.isdecimal() and 1 <= int(text) <= 65535):
+        return _wrong("must be a port number from 1 to 65535")
+    return int(text)
 
-def _seconds(text: str) -> float | None:
+
+def _parse_seconds(text: str) -> float | Failure:
     try:
         value = float(text)
     except ValueError:
-        return None
-    return value if 0 <= value <= 3600 else None
+        return _wrong("must be a number of seconds without a unit, such as 1.5")
+    if not 0 <= value <= MAX_SECONDS:
+        return _wrong(f"must be from 0 to {MAX_SECONDS:g} seconds")
+    return value
 
 
-def _is_ip(text: str) -> bool:
+def _parse_address(text: str) -> str | Failure:
     try:
-        ipaddress.ip_address(text)
+        address = ipaddress.IPv4Address(text)
     except ValueError:
-        return False
-    return True
+        return _wrong("must be an IP number such as 10.0.0.7")
+    if address.is_unspecified or address.is_multicast:
+        return _wrong("must be the number that other hosts reach this one by")
+    return text
+
+
+def _parse_addresses(text: str) -> tuple[str, ...] | Failure:
+    addresses = tuple(_parse_address(part.strip()) for part in text.split(SEED_SEPARATOR))
+    for address in addresses:
+        if isinstance(address, Failure):
+            return _wrong("must be IP numbers with commas between them")
+    return addresses
+
+
+def _parse_name(text: str) -> str | Failure:
+    if not NAME.fullmatch(text):
+        return _wrong("must have 1 to 64 letters, digits, dots, dashes and underscores")
+    return text
+
+
+def _parse_url(text: str) -> str | Failure:
+    try:
+        url = urlsplit(text)
+        valid = url.scheme == "http" and url.hostname and (url.port is None or url.port > 0)
+    except ValueError:
+        valid = False
+    if not valid or url.path not in ("", "/") or url.query or url.fragment:
+        return _wrong("must be a URL such as http://10.0.0.9:8500")
+    return text
+
+
+def _parse_key(text: str) -> str | Failure:
+    return text or _wrong("must not be empty")
+
+
+def _one_of(*choices: str) -> Callable[[str], str | Failure]:
+    def parse(text: str) -> str | Failure:
+        return text if text in choices else _wrong(f"must be one of {', '.join(choices)}")
+
+    return parse
 
 
 def _check_ports(path: Path, settings: Settings) -> Failure | None:
-    seen: dict[int, str] = {}
-    for key, name in SECTIONS["ports"].items():
-        port = getattr(settings, name)
+    """Check that no two listeners of a host, nor the platform on it, share a port."""
+    platform = urlsplit(settings.platform_url)
+    seen = {platform.port: "the platform"} if platform.hostname == settings.address else {}
+    for setting in SETTINGS:
+        if setting.section != "ports":
+            continue
+        port = getattr(settings, setting.field)
         if port in seen:
-            return _failure(path, "ports", key, f"is {port}, which {seen[port]} has already")
-        seen[port] = key
+            return _failure(path, setting, f"is {port}, which {seen[port]} has already")
+        seen[port] = setting.key
     return None
 
 
-def _failure(path: Path, section: str, key: str, reason: str) -> Failure:
-    return Failure(ErrorKind.BAD_REQUEST, reason, f"{path}: [{section}] {key}")
+def _failure(path: Path, setting: Setting, reason: str) -> Failure:
+    field = f"{path}: [{setting.section}] {setting.key}"
+    return Failure(ErrorKind.BAD_REQUEST, reason, field)
+
+
+SETTINGS = (
+    Setting("host", "address", "address", "IP number of the host", _parse_address),
+    Setting("host", "zone", "zone", "data centre of the host", _parse_name),
+    Setting("platform", "url", "platform_url", "URL of the operators' platform", _parse_url),
+    Setting("ports", "entry", "entry_port", "TCP port for callers", _parse_port),
+    Setting("ports", "aggregator", "aggregator_port", "TCP port for entries", _parse_port),
+    Setting(
+        "ports",
+        "entry_gossip",
+        "entry_gossip_port",
+        "UDP port of the entry for membership, and TCP port of its status",
+        _parse_port,
+    ),
+    Setting(
+        "ports",
+        "aggregator_gossip",
+        "aggregator_gossip_port",
+        "UDP port of the aggregator for membership, and TCP port of its status",
+        _parse_port,
+    ),
+    Setting("gossip", "key", "gossip_key", "secret of the fleet's datagrams", _parse_key),
+    Setting(
+        "gossip",
+        "seeds",
+        "gossip_seeds",
+        "IP numbers of hosts to ask beside the platform's list, by commas",
+        _parse_addresses,
+    ),
+    Setting(
+        "stop",
+        "keep_s",
+        "keep_s",
+        "seconds that callers keep addresses, and that a stopping process serves on",
+        _parse_seconds,
+    ),
+    Setting("log", "format", "log_format", "text or json", _one_of("text", "json")),
+    Setting(
+        "log",
+        "level",
+        "log_level",
+        "DEBUG, INFO, NOTICE, WARNING or ERROR",
+        _one_of("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"),
+    ),
+    Setting(
+        "aggregator",
+        "policy",
+        "aggregator_policy",
+        "full, or plain: without hedging, cold starts and early refusal, for comparison",
+        _one_of("full", "plain"),
+    ),
+)
+DEFAULTS = {
+    field.name: field.default
+    for field in msgspec.structs.fields(Settings)
+    if field.default is not msgspec.NODEFAULT
+}
+REQUIRED_FIELDS = frozenset(setting.field for setting in SETTINGS) - DEFAULTS.keys()
