--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -98,6 +98,7 @@
         self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}
         self.servers: dict[str, StandinServer] = {}
         self._settings = settings
+        self._listening_servers: dict[str, HTTPServer] = {}
         self._listening: list[HTTPServer] = []
         self._directory = tempfile.TemporaryDirectory(prefix="fighinge-")
 
@@ -127,7 +128,7 @@
         for name in document.backend_servers:
             server = StandinServer(name, document, seed=1)
             self.servers[name] = server
-            self._listening.append(backend_http.listen(server))
+            self._listening_servers[name] = backend_http.listen(server)
         stand_in = StandinPlatform()
         stand_in.hosts = self.hosts
         self._listening.append(platform_http.listen(stand_in, PLATFORM_HOST, PLATFORM_PORT))
@@ -135,9 +136,15 @@
 
     async def stop_standins(self) -> None:
         """End the stand-ins."""
-        for server in self._listening:
+        for server in (*self._listening, *self._listening_servers.values()):
             server.stop()
 
+    async def stop_backend_server(self, name: str) -> None:
+        """Stop one backend server for good; nothing listens at its address any more."""
+        server = self._listening_servers.pop(name)
+        server.stop()
+        await server.close_all_connections()
+
     def base(self) -> bytes:
         """Return the document as the base that operators publish."""
         return msgspec.json.encode({"version": 1, "document": msgspec.Raw(self.raw_document)})
--- a/demo/run.py
+++ b/demo/run.py
@@ -3,15 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import shlex
 import signal
 import sys
 
 import defopt
 import msgspec
 
-from demo.fleet import ENTRY_PORT, Fleet, document, host_entries
+from demo.fleet import (
+    BACKEND_HOST,
+    ENTRY_PORT,
+    FIRST_BACKEND_PORT,
+    PLATFORM_HOST,
+    PLATFORM_PORT,
+    Fleet,
+    document,
+    host_entries,
+)
 
 SETTLE_S = 1.5
+LOST_SHARD = "s0004"
 
 
 def run(*, serve: bool = False) -> None:
@@ -24,14 +35,16 @@
 
 async def _run(*, serve: bool) -> None:
     fleet = Fleet(msgspec.json.encode(document()), host_entries())
-    print(f"starting {len(fleet.hosts)} hosts, each with an entry and an aggregator")
+    print(f"starting {len(fleet.hosts)} hosts, each with an entry and an aggregator", flush=True)
     code = 1
     try:
         await fleet.start()
         await asyncio.sleep(SETTLE_S)
-        code = await _sample_query(fleet)
+        code = await _sample_query(fleet, "--facet", "city", "--limit", "5", "--trace")
         if serve:
             await _serve(fleet)
+        elif code == 0:
+            code = await _query_without(fleet, LOST_SHARD)
     finally:
         await fleet.stop()
     stopped = [process.returncode for process in fleet.processes.values()]
@@ -39,23 +52,42 @@
     sys.exit(code or max(stopped))
 
 
-async def _sample_query(fleet: Fleet) -> int:
+async def _query_without(fleet: Fleet, shard: str) -> int:
+    """Stop all backend servers of a shard and send the query again."""
+    shards = document()["collections"]["attendees"]["snapshots"][0]["shards"]
+    replicas = shards[shard]["replicas"]
+    lost = [name for name, entry in shards.items() if entry["replicas"] == replicas]
+    print(f"\nstopping {', '.join(replicas)}, which alone hold {', '.join(lost)}", flush=True)
+    for name in replicas:
+        await fleet.stop_backend_server(name)
+    return await _sample_query(fleet, "--limit", "1")
+
+
+async def _sample_query(fleet: Fleet, *options: str) -> int:
     command = [
         *("-m", "fighinge.cmd.query", "desk"),
         *("--entry", f"http://{fleet.hosts[0].address}:{ENTRY_PORT}"),
         *("--filter", '{"city": "Laredo"}'),
-        *("--facet", "city", "--limit", "5", "--trace"),
+        *options,
     ]
-    print("fighinge-query " + " ".join(command[2:]))
+    print("$ fighinge-query " + shlex.join(command[2:]), flush=True)
     process = await asyncio.create_subprocess_exec(sys.executable, *command)
     return await process.wait()
 
 
 async def _serve(fleet: Fleet) -> None:
-    address = fleet.hosts[0].address
-    print(f"try: curl http://{address}:{ENTRY_PORT}/v1/entries")
-    print(f"try: fighinge-query desk --entry http://{address}:{ENTRY_PORT} --trace")
-    print("stop with Ctrl-C")
+    entry = f"http://{fleet.hosts[0].address}:{ENTRY_PORT}"
+    platform = f"http://{PLATFORM_HOST}:{PLATFORM_PORT}"
+    backend_server = f"http://{BACKEND_HOST}:{FIRST_BACKEND_PORT}"
+    tries = (
+        f"curl {entry}/v1/entries",
+        f"curl {entry}/metrics",
+        f"fighinge-query desk --entry {entry} --trace",
+        f"fighinge-ctl status --platform {platform}",
+        f"fighinge-ctl explain s0004 --platform {platform}",
+        f"curl -X PUT {backend_server}/standin/behaviour -d '{{\"service_ms\": 300}}'",
+    )
+    print("try:", *tries, "stop with Ctrl-C", sep="\n  ", flush=True)
     stopped = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -70,8 +70,8 @@
     """Collects the parts of one query until all groups answered or time is up.
 
     ``sent`` stays false only while it is certain that no backend server was sent the request.
-    ``replaceable`` tells that the query may be planned again, so that a run whose snapshot
-    vanishes ends at once.
+    ``is_replaceable`` tells whether the query would be planned again on a snapshot that promises
+    more, so that a run whose snapshot vanishes ends at once.
     """
 
     __slots__ = (
@@ -86,7 +86,7 @@
         "_silence_s",
         "_terms",
         "collector",
-        "replaceable",
+        "is_replaceable",
         "retry_after_s",
         "sent",
         "snapshot",
@@ -107,7 +107,7 @@
         self.traces: list[GroupTrace] = []
         self.sent = False
         self.retry_after_s = 0.0
-        self.replaceable = False
+        self.is_replaceable: Callable[[], bool] = lambda: False
         self._terms = terms
         self._plan = plan
         self._context = context
@@ -122,9 +122,13 @@
     @property
     def vanished(self) -> bool:
         """Return whether many shards are no longer served at the snapshot."""
-        return self.collector.missing_of(VANISHED_KINDS) >= VANISHED_SHARE * len(
-            self.snapshot.shards
-        )
+        return 1 - self.reachable_share >= VANISHED_SHARE
+
+    @property
+    def reachable_share(self) -> float:
+        """Return the share of the shards that may still be served at the snapshot."""
+        vanished = self.collector.missing_of(VANISHED_KINDS)
+        return 1 - vanished / len(self.snapshot.shards)
 
     async def run(self) -> None:
         """Send everything and wait for all groups, the early answer or the deadline."""
@@ -260,7 +264,7 @@
         if len(outcome.parts) < len(shards):
             answered = {part.shard for part in outcome.parts}
             self.collector.add_unanswered(shard for shard in shards if shard not in answered)
-        if self.replaceable and outcome.missing and self.vanished:
+        if outcome.missing and self.vanished and self.is_replaceable():
             self._done.set()
 
     def _is_asked_elsewhere(self, group: str) -> bool:
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -219,12 +219,13 @@
         )
         rule = EarlyAnswerRule.from_service(service, query.started_s, query.deadline_s)
         run = QueryRun(terms, plan, context, query.deadline_s, rule)
-        run.replaceable = may_repeat and request.repeatable
+        if may_repeat and request.repeatable:
+            run.is_replaceable = lambda: self._better_snapshot(query, run) is not None
         await run.run()
         return run
 
-    def _newer_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
-        """Return the snapshot to plan a query on again, if it may be and that promises more."""
+    def _better_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
+        """Return a snapshot that promises more than a run on a vanished one can still reach."""
         if query.cursor is not None or not run.vanished:
             return None
         if run.sent and not query.request.repeatable:
@@ -239,8 +240,14 @@
         if other is None:
             return None
         served = self.snapshots.served_share(name, other, self._planner, now_s)
-        if served <= run.collector.share:
+        return other if served > run.reachable_share else None
+
+    def _newer_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
+        """Return the snapshot to plan a query on again, if its class may place the load."""
+        other = self._better_snapshot(query, run)
+        if other is None:
             return None
+        name = query.service.collection
         plan = self._planner.plan(name, other)
         if not self._budget(query.service.query_class, 0).spend(len(plan.groups)):
             return None
--- a/tests/systems.py
+++ b/tests/systems.py
@@ -6,16 +6,19 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from fighinge.aggregator.service import AggregatorService
 from fighinge.entry.query_service import QueryService
 from fighinge.entry.snapshots import SnapshotChooser
+from fighinge.model import decode_document
 from fighinge.ownership import Candidate
 from standins.backend import StandinServer
 from standins.direct import DirectBackendClient, DirectLinks
-from tests.builders import document
+from tests.builders import raw_document
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterable
 
 SETTLE_S = 0.05
 
@@ -29,13 +32,20 @@
 
 
 @contextlib.asynccontextmanager
-async def whole_system(**changes) -> AsyncIterator[QueryService]:
-    """Yield an entry that answers queries; see ``builders.raw_document`` for the changes."""
+async def whole_system(
+    raw: dict | None = None, stopped: Iterable[str] = ()
+) -> AsyncIterator[QueryService]:
+    """Yield an entry that answers queries.
+
+    :param raw: configuration document
+    :param stopped: names of backend servers that do not listen
+    """
     clock = asyncio.get_running_loop().time
-    configured = document(**changes)
+    configured = decode_document(msgspec.json.encode(raw or raw_document()))
     client = DirectBackendClient(
         StandinServer(name, configured, seed=1) for name in configured.backend_servers
     )
+    client.unreachable.update(stopped)
     aggregator = AggregatorService(client, clock)
     aggregator.configure(configured)
     polling = asyncio.create_task(aggregator.poll_states())
