Set only what differs between requests on a curl handle

Cause: tornado's client sets 28 options for each request, 25% of the time of a call to a backend server under a profiler. Change: options that all requests share are set when a handle is made. Redirects are no longer followed (each would be a second sending) and proxies of the environment no longer used. The stand-in platform also refuses watches that were waiting when readers were cut off.

--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -58,10 +58,9 @@
 def set_zone(at_s: float, zone: str, *, in_service: bool) -> Fault:
     """Take a data centre out of service or back."""
 
-    async def act(fleet: MeasuredFleet, notes: dict[str, object]) -> None:
+    async def act(fleet: MeasuredFleet, _notes: dict[str, object]) -> None:
         path = f"/zones/{zone}/in_service"
         await fleet.publish_patch([{"op": "add", "path": path, "value": in_service}])
-        notes[f"{zone}_{'in' if in_service else 'out'}_s"] = time.monotonic()
 
     return Fault(at_s, f"{zone} {'back in' if in_service else 'out of'} service", act)
 
--- a/fighinge/curl.py
+++ b/fighinge/curl.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from io import BytesIO
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,9 +12,11 @@
 
 if TYPE_CHECKING:
     from tornado.httpclient import HTTPRequest, HTTPResponse
+    from tornado.httputil import HTTPHeaders
 
 
 MAX_KEPT_CONNECTIONS = 2048
+MAX_RESPONSE_BYTES = 100 * 1024 * 1024
 
 
 class TransferFailure(msgspec.Struct, frozen=True):
@@ -33,6 +36,9 @@
     By itself libcurl keeps four connections for each request that is outstanding at the moment
     and closes the rest, so that a quiet moment costs most of them. It also checks whether a
     connection is still open only if that was idle for a second; the client looks at the socket.
+
+    Requests are GET, or POST with a body; of their options only headers, timeouts and the
+    callback before sending are used. Redirects are not followed and proxies not used.
     """
 
     def initialize(self, *args: object, **kwargs: object) -> None:
@@ -52,6 +58,36 @@
         except OSError:
             return False
 
+    def _curl_create(self) -> pycurl.Curl:
+        """Return a handle with the options that all requests share."""
+        curl = super()._curl_create()
+        curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.FOLLOWLOCATION, 0)
+        curl.setopt(pycurl.MAXFILESIZE, MAX_RESPONSE_BYTES)
+        refuse_rewind(curl)
+        ignore_headers(curl)
+        return curl
+
+    def _curl_setup_request(
+        self, curl: pycurl.Curl, request: HTTPRequest, buffer: BytesIO, headers: HTTPHeaders
+    ) -> None:
+        """Set what differs between requests, a third of what tornado sets."""
+        lines = [f"{name}: {value}" for name, value in request.headers.items()]
+        curl.setopt(pycurl.URL, request.url)
+        curl.setopt(pycurl.HTTPHEADER, [*lines, "Expect:"])
+        curl.setopt(pycurl.WRITEFUNCTION, buffer.write)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, round(1000 * request.connect_timeout))
+        curl.setopt(pycurl.TIMEOUT_MS, round(1000 * request.request_timeout))
+        if request.method == "POST":
+            curl.setopt(pycurl.POST, 1)
+            curl.setopt(pycurl.READFUNCTION, BytesIO(request.body).read)
+            curl.setopt(pycurl.POSTFIELDSIZE, len(request.body))
+        else:
+            curl.setopt(pycurl.HTTPGET, 1)
+        if request.prepare_curl_callback is not None:
+            request.prepare_curl_callback(curl)
+
     def _handle_socket(self, event: int, fd: int, multi: pycurl.CurlMulti, data: object) -> None:
         if event != pycurl.POLL_REMOVE and fd not in self._fds:
             self._note_socket(fd)
@@ -136,8 +172,6 @@
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Take part in a transfer."""
-        refuse_rewind(curl)
-        ignore_headers(curl)
         curl.setopt(pycurl.FRESH_CONNECT, int(self._fresh_connection))
         curl.setopt(pycurl.PREREQFUNCTION, self._about_to_send)
 
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -48,6 +48,9 @@
             int(self.get_query_argument("after", "0")),
             float(self.get_query_argument("wait_s", "0")),
         )
+        if self.platform.refuses(self.request.headers.get("X-Reader", "?")):
+            self.send_error(503)
+            return
         self.write_message(values)
 
 
