Derive lists of members once for each change of the table

Each probe and round of gossip walked the whole table: 0.74 ms a time at 460 members. The lists are kept until the next change.

--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -61,6 +61,8 @@
         "_clock",
         "_codec",
         "_is_silent",
+        "_lost",
+        "_lost_at",
         "_news",
         "_packer",
         "_ports",
@@ -101,6 +103,8 @@
         self._packer = Packer(self._codec)
         self._news = NewsQueue()
         self._seeds: set[GossipAddress] = set()
+        self._lost: list[GossipAddress] = []
+        self._lost_at = -1
         self._is_silent = False
         self.table.listen(self._pass_on)
         board.listen(self._pass_on)
@@ -127,6 +131,7 @@
         """Take the hosts whose processes are asked to let this one take part."""
         self._seeds = {self._ports.address(role, host) for host in hosts for role in Role}
         self._seeds.discard(self.address)
+        self._lost_at = -1
 
     def announce(self) -> None:
         """Tell some members at once which configuration version is in force."""
@@ -157,7 +162,7 @@
         known = self.table.get(member.name)
         if known is not None and known.state is not MemberState.ALIVE:
             items.insert(0, known)
-        self._send_to(self._ports.address(member.role, member.host), message, items)
+        self._send_to(self._address_of(member), message, items)
 
     def receive(self, data: bytes, host: str) -> None:
         """Take a datagram.
@@ -183,7 +188,7 @@
             self._board.add(received_fact(record, now_s), now_s)
         self.spread.heard(sender, datagram.configuration)
         if self.table.me.incarnation != incarnation:
-            self._send_to(self._ports.address(sender.role, sender.host), Gossip(), [])
+            self._send_to(self._address_of(sender), Gossip(), [])
         self._answer(sender, datagram)
 
     def _answer(self, sender: Member, datagram: Datagram) -> None:
@@ -208,7 +213,7 @@
         known = self.table.get(sender.name)
         if known is not None and known != sender:
             items.insert(0, known)
-        address = self._ports.address(sender.role, sender.host)
+        address = self._address_of(sender)
         self._send_to(address, Ack(ping.sequence), items)
 
     def _compare(self, sender: Member, exchange: Exchange) -> None:
@@ -219,7 +224,7 @@
         self._random.shuffle(items)
         facts = self._board.current(self._clock())
         items = self._random.sample(facts, min(EXCHANGE_FACTS, len(facts))) + items
-        address = self._ports.address(sender.role, sender.host)
+        address = self._address_of(sender)
         for _ in range(EXCHANGE_DATAGRAMS):
             if not items:
                 break
@@ -240,21 +245,19 @@
         """Compare tables in each interval with a member, a dead one and a seed."""
         while True:
             message = Exchange(self.table.digests(), wants_reply=True)
-            targets = [
-                self._ports.address(member.role, member.host) for member in self._some_members(1)
-            ]
+            targets = [self._address_of(member) for member in self._some_members(1)]
             for address in [*targets, *self._lost_addresses()]:
                 self._send_to(address, message, self._news.next())
             await asyncio.sleep(EXCHANGE_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
 
     def _lost_addresses(self) -> list[GossipAddress]:
         """Return some addresses where there may be a member that is not known alive."""
-        reached = {
-            self._ports.address(member.role, member.host) for member in self.table.reachable()
-        }
-        lost = {self._ports.address(member.role, member.host) for member in self.table.dead()}
-        candidates = sorted((lost | self._seeds) - reached)
-        return self._random.sample(candidates, min(MAX_SEEDS_PER_ROUND, len(candidates)))
+        if self._lost_at != self.table.changes:
+            self._lost_at = self.table.changes
+            reached = {self._address_of(member) for member in self.table.reachable()}
+            lost = {self._address_of(member) for member in self.table.dead()}
+            self._lost = sorted((lost | self._seeds) - reached)
+        return self._random.sample(self._lost, min(MAX_SEEDS_PER_ROUND, len(self._lost)))
 
     def _spread_news(self, fanout: int) -> None:
         for member in self._some_members(fanout):
@@ -264,6 +267,9 @@
         members = self.table.reachable()
         return self._random.sample(members, min(count, len(members)))
 
+    def _address_of(self, member: Member) -> GossipAddress:
+        return self._ports.address(member.role, member.host)
+
     def _pass_on(self, item: Member | Fact) -> None:
         self._news.put(item, len(self.table.members()))
 
--- a/fighinge/membership/table.py
+++ b/fighinge/membership/table.py
@@ -45,9 +45,22 @@
 
 
 class MemberTable:
-    """The claims that hold, with this process's own among them."""
-
-    __slots__ = ("_changed_s", "_digests", "_listeners", "_members", "_suspicions", "me")
+    """The claims that hold, with this process's own among them.
+
+    ``changes`` counts them, so that what is derived from the table can be kept until the next.
+    """
+
+    __slots__ = (
+        "_changed_s",
+        "_dead",
+        "_digests",
+        "_listeners",
+        "_members",
+        "_reachable",
+        "_suspicions",
+        "changes",
+        "me",
+    )
 
     def __init__(self, me: Member) -> None:
         self.me = me
@@ -55,6 +68,9 @@
         self._changed_s: dict[str, float] = {}
         self._suspicions: dict[str, Suspicion] = {}
         self._digests: list[bytes] | None = None
+        self._reachable: list[Member] | None = None
+        self._dead: list[Member] | None = None
+        self.changes = 0
         self._listeners: list[Callable[[Member], None]] = []
 
     def listen(self, listener: Callable[[Member], None]) -> None:
@@ -71,17 +87,22 @@
 
     def reachable(self, role: Role | None = None) -> list[Member]:
         """Return the members other than this one that are not dead."""
-        return [
-            member
-            for member in self._members.values()
-            if member.state is not MemberState.DEAD
-            and (role is None or member.role is role)
-            and member.name != self.me.name
-        ]
+        if self._reachable is None:
+            self._reachable = [
+                member
+                for member in self._members.values()
+                if member.state is not MemberState.DEAD and member is not self.me
+            ]
+        if role is None:
+            return self._reachable
+        return [member for member in self._reachable if member.role is role]
 
     def dead(self) -> list[Member]:
         """Return the members that are held dead."""
-        return [member for member in self._members.values() if member.state is MemberState.DEAD]
+        if self._dead is None:
+            members = self._members.values()
+            self._dead = [member for member in members if member.state is MemberState.DEAD]
+        return self._dead
 
     def change_me(self, **changes: object) -> None:
         """Say something new of this process."""
@@ -121,7 +142,7 @@
         for member in self.dead():
             if now_s - self._changed_s[member.name] >= KEEP_DEAD_S:
                 del self._members[member.name], self._changed_s[member.name]
-                self._digests = None
+                self._forget_derived()
 
     def extend_suspicions(self, now_s: float) -> None:
         """Give every suspected member its whole time again, after this process was paused."""
@@ -135,6 +156,8 @@
     def differing(self, digests: bytes) -> list[Member]:
         """Return the members in buckets whose digest differs from another table's."""
         mine = self._bucket_digests()
+        if digests == b"".join(mine):
+            return []
         size = BUCKET_DIGEST_BYTES
         buckets = {
             number
@@ -168,10 +191,16 @@
 
     def _store(self, member: Member) -> None:
         self._members[member.name] = member
-        self._digests = None
+        self._forget_derived()
         for listener in self._listeners:
             listener(member)
 
+    def _forget_derived(self) -> None:
+        self.changes += 1
+        self._digests = None
+        self._reachable = None
+        self._dead = None
+
     def _bucket_digests(self) -> list[bytes]:
         if self._digests is None:
             hashes = [xxhash.xxh32() for _ in range(BUCKETS)]
