--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -25,10 +25,28 @@
     from fighinge.configuration.base import HostEntry
 
 FIRST_CONTROL_PORT = 8900
+STATUS_PORTS = {"entry": 8070, "aggregator": 8071}
+HURRY_PAUSE_S = 0.2
 START_TIMEOUT_S = 15.0
 CONTROL_TIMEOUT_S = 10.0
 
 
+class MemberView(msgspec.Struct):
+    """A member as a process sees it."""
+
+    name: str
+    state: str
+
+
+class ProcessView(msgspec.Struct):
+    """As much of a process's status as is measured."""
+
+    name: str
+    configuration_version: int
+    members: list[MemberView]
+    sent_bytes: int
+
+
 class MeasuredFleet(Fleet):
     """A fleet whose backend servers run in processes of their own."""
 
@@ -54,10 +72,12 @@
         return self
 
     async def __aexit__(self, *_error: object) -> None:
-        """Stop everything, by force where it does not stop by itself."""
-        for process in self.processes.values():
-            if process.returncode is None:
-                process.send_signal(signal.SIGCONT)
+        """Stop everything in a hurry, by force where it does not stop by itself."""
+        for number in (signal.SIGCONT, signal.SIGTERM):
+            for process in self.processes.values():
+                if process.returncode is None:
+                    process.send_signal(number)
+        await asyncio.sleep(HURRY_PAUSE_S)
         try:
             await self.stop()
         except TimeoutError:
@@ -160,6 +180,24 @@
         ]
         return read_usage(pids)
 
+    async def views(self) -> list[ProcessView]:
+        """Return what each process believes, those that do not answer left out."""
+        urls = [
+            f"http://{address}:{STATUS_PORTS[role]}/v1/status" for role, address in self.processes
+        ]
+        answers = await asyncio.gather(
+            *(self._http.fetch(url, request_timeout=1.0) for url in urls), return_exceptions=True
+        )
+        return [
+            msgspec.json.decode(answer.body, type=ProcessView)
+            for answer in answers
+            if not isinstance(answer, BaseException)
+        ]
+
+    async def sent_bytes(self) -> int:
+        """Return what all processes have sent as datagrams."""
+        return sum(view.sent_bytes for view in await self.views())
+
     async def publish_patch(self, operations: list[dict]) -> int:
         """Publish a patch as an operator does and return the version that it makes."""
         self.patches += 1
