--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -35,6 +35,7 @@
 logger = logbook.Logger(__name__)
 
 ANSWER_SLACK_S = 0.002
+FOLLOW_INTERVAL_S = 0.05
 REPLAN_LEAST_LEFT_SHARE = 0.25
 INCARNATION_BITS = 31
 CALLS_BITS = 32
@@ -107,6 +108,7 @@
         "_clock",
         "_document",
         "_fleet",
+        "_follow_again_s",
         "_links",
         "_name",
         "_planner",
@@ -131,6 +133,7 @@
         self._document: Document | None = None
         self._planner: Planner | None = None
         self._version = 0
+        self._follow_again_s = 0.0
         self._times = ResponseTimes()
         self._budgets: dict[str, ExtraLoadBudget] = {}
         self.snapshots = snapshots
@@ -140,6 +143,7 @@
         self._version = version
         self._document = document
         self._planner = Planner(document)
+        self._follow_again_s = 0.0
 
     @property
     def ready(self) -> bool:
@@ -186,7 +190,7 @@
         name = query.service.collection
         collection = self._document.collections[name]
         if query.cursor is None:
-            self._planner.follow(self._fleet.aggregators())
+            self._follow_fleet(query.started_s)
             return self.snapshots.choose(name, collection, self._planner, query.started_s)
         snapshot = collection.snapshot(query.cursor.index_version)
         if snapshot is None:
@@ -194,6 +198,12 @@
             return Failure(ErrorKind.SNAPSHOT_GONE, reason, "cursor")
         return snapshot
 
+    def _follow_fleet(self, now_s: float) -> None:
+        """Take over which aggregators take work, not at each query but soon after a change."""
+        if now_s >= self._follow_again_s:
+            self._planner.follow(self._fleet.aggregators())
+            self._follow_again_s = now_s + FOLLOW_INTERVAL_S
+
     async def _run(self, query: Query, snapshot: Snapshot, *, may_repeat: bool) -> QueryRun:
         service, request = query.service, query.request
         search = query.search()
@@ -208,7 +218,7 @@
             fingerprint=fingerprint(query.service_name, search),
             configuration_version=self._version,
         )
-        self._planner.follow(self._fleet.aggregators())
+        self._follow_fleet(self._clock())
         plan = self._planner.plan(service.collection, snapshot)
         context = RunContext(
             self._links,
--- a/standins/direct.py
+++ b/standins/direct.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
 from standins.backend import ConnectionDropped, NotListening
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
-    from fighinge.aggregator.service import AggregatorService
     from fighinge.entry.base import OutcomeListener
     from fighinge.messages import (
         BackendAnswer,
@@ -24,6 +23,18 @@
     from standins.backend import StandinServer
 
 
+class SubQueries(Protocol):
+    """An aggregator's end of a link."""
+
+    def submit(
+        self, sub_query: SubQuery, reply: Callable[[int, GroupOutcome], None], entry: str = ""
+    ) -> None:
+        """Start a sub-query."""
+
+    def cancel(self, entry: str, call: int) -> None:
+        """Give a sub-query up."""
+
+
 class DirectBackendClient:
     """A backend client that calls stand-in servers in the same process.
 
@@ -64,13 +75,24 @@
 
 
 class DirectLink:
-    """A link to an aggregator in the same process; cut, it loses what is outstanding."""
+    """A link to an aggregator in the same process.
 
-    def __init__(self, name: str, service: AggregatorService) -> None:
+    Cut, it loses what is outstanding; held, it keeps what arrives at either end until released,
+    as a process does that is paused.
+    """
+
+    def __init__(
+        self, name: str, service: SubQueries, entry: str = "", latency_s: float = 0.0
+    ) -> None:
+        self.is_cut = False
+        self.is_held = False
         self._name = name
         self._service = service
+        self._entry = entry
+        self._latency_s = latency_s
         self._listeners: dict[int, OutcomeListener] = {}
-        self.is_cut = False
+        self._held: list[Callable[[], None]] = []
+        self._connection = 0
 
     def send(self, sub_query: SubQuery, listener: OutcomeListener) -> None:
         """Hand a sub-query over."""
@@ -78,35 +100,88 @@
             listener.link_lost(self._name, sent=False)
             return
         self._listeners[sub_query.call] = listener
-        self._service.submit(sub_query, self._reply)
+        self._carry(lambda: self._service.submit(sub_query, self._reply, self._entry))
 
     def cancel(self, call: int) -> None:
-        """Drop what is still to come for a call."""
-        self._listeners.pop(call, None)
+        """Drop what is still to come for a call and stop it at the aggregator."""
+        if self._listeners.pop(call, None) is not None and not self.is_cut:
+            self._carry(lambda: self._service.cancel(self._entry, call))
 
     def cut(self) -> None:
         """Break the link."""
         self.is_cut = True
+        self._connection += 1
+        self._held.clear()
         listeners, self._listeners = self._listeners, {}
         for listener in listeners.values():
             listener.link_lost(self._name, sent=True)
 
+    def heal(self) -> None:
+        """Let the link carry again."""
+        self.is_cut = False
+
+    def hold(self) -> None:
+        """Keep what arrives."""
+        self.is_held = True
+
+    def release(self) -> None:
+        """Hand over what was kept."""
+        self.is_held = False
+        held, self._held = self._held, []
+        for action in held:
+            action()
+
     def _reply(self, call: int, outcome: GroupOutcome) -> None:
+        self._carry(lambda: self._deliver(call, outcome))
+
+    def _deliver(self, call: int, outcome: GroupOutcome) -> None:
         listener = self._listeners.get(call)
         if listener is not None:
             listener.outcome(outcome)
 
+    def _carry(self, action: Callable[[], None]) -> None:
+        if not self._latency_s:
+            self._arrive(self._connection, action)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._latency_s, self._arrive, self._connection, action)
+
+    def _arrive(self, connection: int, action: Callable[[], None]) -> None:
+        if connection != self._connection:
+            return
+        if self.is_held:
+            self._held.append(action)
+        else:
+            action()
+
 
 class DirectLinks:
-    """One entry's links to aggregators in the same process."""
+    """One entry's links to aggregators in the same process; to others there is a cut one."""
 
-    def __init__(self, services: dict[str, AggregatorService]) -> None:
-        self._links = {name: DirectLink(name, service) for name, service in services.items()}
+    def __init__(
+        self, services: Mapping[str, SubQueries], entry: str = "", latency_s: float = 0.0
+    ) -> None:
+        self._entry = entry
+        self._latency_s = latency_s
+        self._links = {name: self._create(name, service) for name, service in services.items()}
 
     def link(self, aggregator: str) -> DirectLink:
         """Return the link to an aggregator."""
+        link = self._links.get(aggregator)
+        if link is None:
+            link = self._links[aggregator] = self._create(aggregator, None)
+            link.is_cut = True
+        return link
+
+    def connect(self, aggregator: str, service: SubQueries) -> DirectLink:
+        """Open a link to an aggregator that has started, in place of one to its forerunner."""
+        self.link(aggregator).cut()
+        self._links[aggregator] = self._create(aggregator, service)
         return self._links[aggregator]
 
+    def _create(self, name: str, service: SubQueries | None) -> DirectLink:
+        return DirectLink(name, service, self._entry, self._latency_s)
+
 
 def _address(server: StandinServer) -> Address:
     entry = server.document.backend_servers[server.name]
--- /dev/null
+++ b/tests/histories/processes.py
@@ -0,0 +1,266 @@
+"""Entry and aggregator processes in one event loop, with the real parts of each."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from fighinge.admission import Admission
+from fighinge.aggregator.admitted import AdmittedSubQueries
+from fighinge.aggregator.service import AggregatorService
+from fighinge.configuration.store import ConfigurationStore
+from fighinge.configuration.watcher import ConfigurationWatcher, follow_host_list
+from fighinge.entry.admitted import AdmittedQueries, CountedQueries
+from fighinge.entry.at_most_once import AtMostOnceQueries
+from fighinge.entry.query_service import QueryService
+from fighinge.entry.snapshots import SnapshotChooser
+from fighinge.entry.tickets import TicketRegistry
+from fighinge.errors import ErrorKind, Failure
+from fighinge.facts import FactBoard
+from fighinge.membership.fleet import Fleet, Ports
+from fighinge.membership.member import GossipPorts, Member, Role
+from fighinge.membership.service import Membership
+from fighinge.membership.zone_return import ZoneReturns
+from fighinge.pauses import PauseWatch
+from standins.datagrams import NetworkTransport
+from standins.direct import DirectBackendClient, DirectLinks
+from tests.histories.record import Arrived, Ended, InForce, Started
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from fighinge.configuration.base import HostEntry, Values
+    from fighinge.configuration.history import Accepted
+    from fighinge.messages import BackendRequest
+    from tests.histories.system import System
+
+GOSSIP_PORTS = GossipPorts(8070, 8071)
+KEEP_S = 1.5
+LINK_LATENCY_S = 0.0015
+STATUS_INTERVAL_S = 0.5
+FINISH_LIMIT_S = 5.0
+
+
+class PlatformReader:
+    """One host's way to the platform."""
+
+    def __init__(self, system: System, host: str) -> None:
+        self._system = system
+        self._host = host
+
+    async def read(self, prefix: str, after_revision: int, wait_s: float) -> Values | Failure:
+        """Read or watch, unless the platform is down or cut off."""
+        values = await self._system.platform.read(prefix, after_revision, wait_s)
+        return self._failure() or values
+
+    async def hosts(self) -> list[HostEntry] | Failure:
+        """Return the host list."""
+        return self._failure() or self._system.platform.hosts
+
+    def _failure(self) -> Failure | None:
+        if self._system.platform.down or self._host in self._system.cut_hosts:
+            return Failure(ErrorKind.NOT_READY, "the platform does not answer")
+        return None
+
+
+class Process:
+    """What both roles have: membership, configuration, admission, and how they end."""
+
+    def __init__(self, system: System, role: Role, host: str, incarnation: int) -> None:
+        self.system = system
+        self.host = host
+        self.name = f"{role.value}@{host}"
+        self.clock = asyncio.get_running_loop().time
+        self.random = random.Random(f"{self.name} {incarnation} {system.seed}")
+        self.board = FactBoard()
+        self.store = ConfigurationStore()
+        self.store.listen(self._record_version)
+        zone = system.hosts[host]
+        self.membership = Membership(
+            Member(role, host, zone, incarnation),
+            GOSSIP_PORTS,
+            NetworkTransport(system.network, GOSSIP_PORTS.address(role, host)),
+            self.store,
+            self.board,
+            self.clock,
+            self.random,
+        )
+        returns = ZoneReturns(self.board, self.clock)
+        self.store.listen(returns.configure)
+        self.pauses = PauseWatch(self.clock)
+        self.pauses.listen(self.membership.paused)
+        self.fleet = Fleet(
+            Ports(8080, 8090), self.membership.table, self.board, returns, KEEP_S, self.clock
+        )
+        self.admission = Admission(
+            zone, self.store, self.membership.spread, self.pauses, self.clock
+        )
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.ended = False
+        self._background: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Take part in the fleet."""
+        self.system.history.add(Started(at_s=self.clock(), process=self.name))
+        self._start_background()
+
+    def works(self) -> list[Coroutine]:
+        """Return what runs in the background."""
+        reader = PlatformReader(self.system, self.host)
+        watcher = ConfigurationWatcher(
+            reader, self.store, self.membership, self.clock, self.random
+        )
+        return [
+            self.pauses.run(),
+            self.membership.run(),
+            watcher.run(),
+            follow_host_list(reader, self.membership, self.fleet.take, self.random),
+        ]
+
+    def pause(self) -> None:
+        """Stop to act; the links hold what arrives."""
+        self.awake.clear()
+        self._stop_background()
+
+    def wake(self) -> None:
+        """Act again, on what the world was before the pause."""
+        if self.ended:
+            return
+        self.awake.set()
+        self._start_background()
+
+    def end(self, *, planned: bool) -> None:
+        """End, after a planned stop or without a word."""
+        self.ended = True
+        self.awake.set()
+        self._stop_background()
+        self.system.history.add(Ended(at_s=self.clock(), process=self.name, planned=planned))
+
+    def _start_background(self) -> None:
+        self._background = [asyncio.create_task(work) for work in self.works()]
+
+    def _stop_background(self) -> None:
+        for task in self._background:
+            task.cancel()
+
+    def _record_version(self, accepted: Accepted) -> None:
+        event = InForce(at_s=self.clock(), process=self.name, version=accepted.version)
+        self.system.history.add(event)
+
+
+class AggregatorProcess(Process):
+    """An aggregator."""
+
+    def __init__(self, system: System, host: str, incarnation: int) -> None:
+        super().__init__(system, Role.AGGREGATOR, host, incarnation)
+        self.service = AggregatorService(
+            _RecordingClient(self),
+            self.clock,
+            name=host,
+            zone=system.hosts[host],
+            fleet=self.fleet,
+            facts=self.board,
+            seed=system.seed,
+        )
+        self.store.listen(lambda accepted: self.service.configure(accepted.document))
+        self.admitted = AdmittedSubQueries(self.service, self.admission)
+
+    def works(self) -> list[Coroutine]:
+        """Return what runs in the background."""
+        return [*super().works(), self.service.poll_states()]
+
+    async def stop(self) -> None:
+        """Stop as the command does when it is asked to."""
+        self.membership.leave()
+        await asyncio.sleep(KEEP_S)
+        self.service.stop()
+        await self.admitted.running.finished(FINISH_LIMIT_S)
+        await asyncio.sleep(2 * LINK_LATENCY_S)
+        self.membership.farewell()
+        self.system.lose_aggregator(self.host)
+        self.end(planned=True)
+
+    def kill(self) -> None:
+        """End without a word."""
+        self.system.lose_aggregator(self.host)
+        for entry in self.system.entries.values():
+            self.service.cancel_all(entry.host)
+        self.end(planned=False)
+
+
+class EntryProcess(Process):
+    """An entry."""
+
+    def __init__(self, system: System, host: str, incarnation: int) -> None:
+        super().__init__(system, Role.ENTRY, host, incarnation)
+        services = {name: other.admitted for name, other in system.aggregators.items()}
+        self.links = DirectLinks(services, host, LINK_LATENCY_S)
+        self.chooser = SnapshotChooser(self.clock)
+        self.service = QueryService(host, self.fleet, self.links, self.chooser, self.clock)
+        self.store.listen(lambda a: self.service.configure(a.version, a.document))
+        self.tickets = TicketRegistry.create(host)
+        admitted = AdmittedQueries(self.service, self.admission, lambda: [])
+        self.queries = CountedQueries(
+            AtMostOnceQueries(admitted, self.tickets, system, self.clock)
+        )
+        self.listening = True
+        self.running: set[asyncio.Task] = set()
+
+    def works(self) -> list[Coroutine]:
+        """Return what runs in the background."""
+        return [*super().works(), self._hear_statuses()]
+
+    async def stop(self) -> None:
+        """Stop as the command does when it is asked to."""
+        self.membership.leave()
+        await asyncio.sleep(KEEP_S)
+        self.listening = False
+        await self.queries.running.finished(FINISH_LIMIT_S)
+        self.membership.farewell()
+        self._cut_off(planned=True)
+
+    def kill(self) -> None:
+        """End without a word."""
+        self._cut_off(planned=False)
+
+    def _cut_off(self, *, planned: bool) -> None:
+        self.listening = False
+        for task in self.running:
+            task.cancel()
+        self.end(planned=planned)
+
+    async def _hear_statuses(self) -> None:
+        """Take what the aggregators announce, over links that carry."""
+        while True:
+            for name, aggregator in self.system.aggregators.items():
+                link = self.links.link(name)
+                if not (link.is_cut or link.is_held):
+                    self.chooser.group_statuses(name, aggregator.service.statuses())
+            await asyncio.sleep(STATUS_INTERVAL_S)
+
+
+class _RecordingClient(DirectBackendClient):
+    """Records which aggregator a search comes from."""
+
+    def __init__(self, process: AggregatorProcess) -> None:
+        super().__init__(process.system.servers.values())
+        self._process = process
+
+    async def search(self, address, request: BackendRequest, timeout_s: float):
+        """Run a request on a stand-in."""
+        server = self._servers[address]
+        if server.listening:
+            self._process.system.history.add(
+                Arrived(
+                    at_s=self._process.clock(),
+                    request_id=request.request_id,
+                    server=server.name,
+                    in_flight=server.in_flight + 1,
+                    bearable=server.bearable() if server.is_cold else server.slots,
+                    cold_s=server.cold_since_s if server.is_cold else None,
+                    aggregator=self._process.name,
+                )
+            )
+        return await super().search(address, request, timeout_s)
