--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -30,6 +30,7 @@
 SILENCE_SHARE = 0.3
 SILENCE_FACTOR = 4.0
 SILENCE_MIN_S = 0.02
+LEAST_WAIT_S = 0.0001
 
 
 class QueryTerms(msgspec.Struct, frozen=True, kw_only=True):
@@ -209,7 +210,7 @@
         if self._terms.repeatable:
             waits = [c.sent_s + self._silence_s for c in self._calls.values() if not c.checked]
             check_s = min([check_s, *waits])
-        return max(check_s, now_s)
+        return max(check_s, now_s + LEAST_WAIT_S)
 
     def _check(self, now_s: float) -> None:
         if self._answers_early(now_s):
--- /dev/null
+++ b/tests/histories/faults.py
@@ -0,0 +1,243 @@
+"""The faults that a schedule combines; each starts, lasts and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from tests.histories.record import Disturbed, ServerLeaves, ServerReturns
+from tests.histories.system import HOSTS, raw_document
+
+if TYPE_CHECKING:
+    from tests.histories.system import RecordedServer, System
+
+CRASH_RESENDS = 3
+CRASH_RESEND_S = 0.3
+VERSION_SPREAD_S = 0.4
+ZONE_OUT_LEAST_S = 6.0
+
+
+class FaultKind(enum.Enum):
+    """What goes wrong."""
+
+    STRAGGLER = "straggler"
+    LOST_REPLICA = "lost replica"
+    REPARTITION = "repartition"
+    WRONG_VERSION = "wrong version served"
+    MISPLACED = "records in the wrong place"
+    COLD_START = "cold start"
+    PLATFORM_DOWN = "platform down"
+    PLATFORM_STALE = "platform stale"
+    PAUSE = "pause"
+    PARTITION = "partition"
+    CRASHING_REQUEST = "crashing request"
+    ZONE_OUT = "zone out"
+    SERVER_LEAVES = "backend server leaves"
+    PLANNED_STOP = "planned stop"
+    HOST_LOST = "host lost"
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault of a schedule; ``target`` chooses the server or host that it strikes."""
+
+    kind: FaultKind
+    at_s: float
+    duration_s: float
+    target: int = 0
+
+    def __repr__(self) -> str:
+        return (
+            f"Fault(FaultKind.{self.kind.name}, at_s={self.at_s}, "
+            f"duration_s={self.duration_s}, target={self.target})"
+        )
+
+
+async def strike(system: System, fault: Fault) -> None:
+    """Bring a fault about at its time, and end it."""
+    await asyncio.sleep(fault.at_s)
+    await _ACTIONS[fault.kind](system, fault)
+
+
+def _server(system: System, fault: Fault) -> RecordedServer:
+    servers = list(system.servers.values())
+    return servers[fault.target % len(servers)]
+
+
+def _host(fault: Fault) -> str:
+    return list(HOSTS)[fault.target % len(HOSTS)]
+
+
+async def _behave(system: System, fault: Fault, **changes) -> None:
+    """Change a server's behaviour for a while."""
+    behaviour = _server(system, fault).behaviour
+    before = {name: getattr(behaviour, name) for name in changes}
+    for name, value in changes.items():
+        setattr(behaviour, name, value)
+    await asyncio.sleep(fault.duration_s)
+    for name, value in before.items():
+        setattr(behaviour, name, value)
+
+
+async def _straggler(system: System, fault: Fault) -> None:
+    await _behave(system, fault, straggler_share=0.5, straggler_factor=60.0)
+
+
+async def _lost_replica(system: System, fault: Fault) -> None:
+    _server(system, fault).restart(fault.duration_s)
+
+
+async def _wrong_version(system: System, fault: Fault) -> None:
+    await _behave(system, fault, serves_index_version=2, index_versions={"c": [1, 2]})
+
+
+async def _misplaced(system: System, fault: Fault) -> None:
+    await _behave(system, fault, misplaced_records=3, doubled_records=2)
+
+
+async def _cold_start(system: System, fault: Fault) -> None:
+    _server(system, fault).turn_cold()
+
+
+async def _repartition(system: System, fault: Fault) -> None:
+    """Publish the second snapshot, let servers take it on, then drop the first one."""
+    if system.has_second_snapshot():
+        return
+    both = raw_document((1, 2))["collections"]["c"]["snapshots"]
+    await _set_snapshots(system, both)
+    await _hold(system, fault, [1, 2])
+    await asyncio.sleep(fault.duration_s)
+    await _hold(system, fault, [2])
+    await _set_snapshots(system, both[1:])
+
+
+async def _hold(system: System, fault: Fault, versions: list[int]) -> None:
+    """Let servers hold other versions, one after the other."""
+    servers = list(system.servers.values())
+    for number in range(len(servers)):
+        server = servers[(number + fault.target) % len(servers)]
+        server.behaviour.index_versions = {"c": versions}
+        await asyncio.sleep(VERSION_SPREAD_S)
+
+
+async def _set_snapshots(system: System, snapshots: list[dict]) -> None:
+    operation = {"op": "replace", "path": "/collections/c/snapshots", "value": snapshots}
+    await system.publish([operation])
+
+
+async def _platform_down(system: System, fault: Fault) -> None:
+    _disturb(system, fault)
+    await system.behave_platform(down=True)
+    await asyncio.sleep(fault.duration_s)
+    await system.behave_platform(down=False)
+
+
+async def _platform_stale(system: System, fault: Fault) -> None:
+    _disturb(system, fault)
+    await system.behave_platform(stale=True)
+    await asyncio.sleep(fault.duration_s)
+    await system.behave_platform(stale=False)
+
+
+def _disturb(system: System, fault: Fault, process: str = "") -> None:
+    now_s = system.clock()
+    until_s = now_s + fault.duration_s
+    system.history.add(Disturbed(at_s=now_s, until_s=until_s, process=process))
+
+
+async def _pause(system: System, fault: Fault) -> None:
+    host = _host(fault)
+    processes = [process for process in system.processes(host) if not process.ended]
+    for process in processes:
+        _disturb(system, fault, process.name)
+        process.pause()
+    links = system.links_of(host)
+    for link in links:
+        link.hold()
+    await asyncio.sleep(fault.duration_s)
+    for process in processes:
+        process.wake()
+    for link in links:
+        link.release()
+
+
+async def _partition(system: System, fault: Fault) -> None:
+    """Cut a host off from the other ones and from the platform."""
+    host = _host(fault)
+    for process in system.processes(host):
+        _disturb(system, fault, process.name)
+    links = system.links_of(host, remote=True)
+    system.cut_hosts.add(host)
+    for link in links:
+        link.cut()
+    await asyncio.sleep(fault.duration_s)
+    system.cut_hosts.discard(host)
+    for link in links:
+        link.heal()
+
+
+async def _crashing_request(system: System, fault: Fault) -> None:
+    """Send a request again that crashes each server that runs it."""
+    for number in range(CRASH_RESENDS):
+        host = list(HOSTS)[(fault.target + number) % len(HOSTS)]
+        name = f"crash-{fault.at_s}-{fault.target}"
+        await system.ask(host, f"{name}-{number}", crash=name)
+        await asyncio.sleep(CRASH_RESEND_S)
+
+
+async def _zone_out(system: System, fault: Fault) -> None:
+    zone = HOSTS[_host(fault)]
+    await _set_in_service(system, zone, in_service=False)
+    await asyncio.sleep(ZONE_OUT_LEAST_S + fault.duration_s)
+    await _set_in_service(system, zone, in_service=True)
+
+
+async def _set_in_service(system: System, zone: str, *, in_service: bool) -> None:
+    path = f"/zones/{zone}/in_service"
+    await system.publish([{"op": "replace", "path": path, "value": in_service}])
+
+
+async def _server_leaves(system: System, fault: Fault) -> None:
+    server = _server(system, fault)
+    system.history.add(ServerLeaves(at_s=system.clock(), server=server.name))
+    server.behaviour.draining = True
+    await asyncio.sleep(ZONE_OUT_LEAST_S + fault.duration_s)
+    server.behaviour.draining = False
+    server.restart()
+    system.history.add(ServerReturns(at_s=system.clock(), server=server.name))
+
+
+async def _planned_stop(system: System, fault: Fault) -> None:
+    processes = [process for process in system.processes(_host(fault)) if not process.ended]
+    await asyncio.gather(*(process.stop() for process in processes))
+    await asyncio.sleep(fault.duration_s)
+    system.restart_host(_host(fault))
+
+
+async def _host_lost(system: System, fault: Fault) -> None:
+    for process in system.processes(_host(fault)):
+        if not process.ended:
+            process.kill()
+    await asyncio.sleep(fault.duration_s)
+    system.restart_host(_host(fault))
+
+
+_ACTIONS = {
+    FaultKind.STRAGGLER: _straggler,
+    FaultKind.LOST_REPLICA: _lost_replica,
+    FaultKind.REPARTITION: _repartition,
+    FaultKind.WRONG_VERSION: _wrong_version,
+    FaultKind.MISPLACED: _misplaced,
+    FaultKind.COLD_START: _cold_start,
+    FaultKind.PLATFORM_DOWN: _platform_down,
+    FaultKind.PLATFORM_STALE: _platform_stale,
+    FaultKind.PAUSE: _pause,
+    FaultKind.PARTITION: _partition,
+    FaultKind.CRASHING_REQUEST: _crashing_request,
+    FaultKind.ZONE_OUT: _zone_out,
+    FaultKind.SERVER_LEAVES: _server_leaves,
+    FaultKind.PLANNED_STOP: _planned_stop,
+    FaultKind.HOST_LOST: _host_lost,
+}
--- /dev/null
+++ b/tests/histories/schedules.py
@@ -0,0 +1,103 @@
+"""Schedules of load and faults, how they are drawn, and their histories."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+from hypothesis import strategies
+
+from tests import virtual_time
+from tests.histories.checkers import check
+from tests.histories.faults import Fault, FaultKind, strike
+from tests.histories.record import LEARN_S, Disturbed, Published, ServerLeaves
+from tests.histories.system import HOSTS, System
+
+if TYPE_CHECKING:
+    from tests.histories.checkers import Violation
+    from tests.histories.record import History
+
+MAX_FAULTS = 3
+QUERY_INTERVAL_S = 0.3
+BURST = 8
+BURST_EVERY = 4
+LOAD_S = 7.0
+LEAST_TAIL_S = 0.5
+LIMITS = (5, 50)
+
+
+class Schedule(msgspec.Struct, frozen=True):
+    """Faults over a steady load; the seed sets every other source of chance."""
+
+    seed: int
+    faults: tuple[Fault, ...]
+
+
+def _faults() -> strategies.SearchStrategy[Fault]:
+    return strategies.builds(
+        Fault,
+        kind=strategies.sampled_from(FaultKind),
+        at_s=strategies.integers(0, 50).map(lambda tenths: tenths / 10),
+        duration_s=strategies.integers(2, 30).map(lambda tenths: tenths / 10),
+        target=strategies.integers(0, 5),
+    )
+
+
+def schedules() -> strategies.SearchStrategy[Schedule]:
+    """Return how schedules are drawn: up to three faults, the same kind also twice."""
+    return strategies.builds(
+        Schedule,
+        seed=strategies.integers(1, 1000),
+        faults=strategies.lists(_faults(), min_size=1, max_size=MAX_FAULTS).map(tuple),
+    )
+
+
+def run(schedule: Schedule) -> History:
+    """Run a schedule in virtual time and return its history."""
+    with logbook.NullHandler():
+        return virtual_time.run(_run(schedule))
+
+
+def violations(schedule: Schedule) -> list[Violation]:
+    """Run a schedule and return which promises were broken."""
+    return check(run(schedule))
+
+
+async def _run(schedule: Schedule) -> History:
+    system = System(schedule.seed)
+    await system.start()
+    faults = [asyncio.create_task(strike(system, fault)) for fault in schedule.faults]
+    await _load(system)
+    await asyncio.gather(*faults)
+    await asyncio.sleep(_tail_s(system))
+    return system.history
+
+
+def _tail_s(system: System) -> float:
+    """Return how long the history must go on for its last event to be judged."""
+    told = system.history.of(Published, Disturbed, ServerLeaves)
+    due_s = max(getattr(event, "until_s", event.at_s) for event in told) + LEARN_S
+    return max(LEAST_TAIL_S, due_s + LEAST_TAIL_S - system.clock())
+
+
+async def _load(system: System) -> None:
+    """Send requests through every entry, some alone and some in bursts."""
+    asked = []
+    for number in range(round(LOAD_S / QUERY_INTERVAL_S)):
+        burst = BURST if number % BURST_EVERY == 0 else 1
+        asked += [asyncio.create_task(_ask(system, len(asked) + member)) for member in range(burst)]
+        await asyncio.sleep(QUERY_INTERVAL_S)
+    await asyncio.gather(*asked)
+
+
+async def _ask(system: System, number: int) -> None:
+    """Send one request; each fourth one is not repeatable, under a ticket of some entry."""
+    hosts = list(HOSTS)
+    await system.ask(
+        hosts[number % len(hosts)],
+        f"r{number}",
+        ticket_host=hosts[number % 2] if number % 4 == 0 else "",
+        limit=LIMITS[number % 2],
+    )
--- /dev/null
+++ b/tests/test_histories.py
@@ -0,0 +1,22 @@
+"""Drawn schedules of faults and load break none of the ten promises."""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, Phase, given, settings
+
+from tests.histories.schedules import Schedule, schedules, violations
+
+SCHEDULES_IN_CI = 150
+
+
+@settings(
+    max_examples=SCHEDULES_IN_CI,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+    phases=(Phase.explicit, Phase.generate, Phase.shrink),
+)
+@given(schedule=schedules())
+def test_drawn_schedules_keep_every_promise(schedule: Schedule):
+    assert violations(schedule) == []
