--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -31,7 +31,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from fighinge.configuration.store import ConfigurationStore
     from fighinge.facts import Fact, FactBoard
@@ -106,6 +106,11 @@
         board.listen(self._pass_on)
         store.listen(lambda _accepted: self.announce())
 
+    @property
+    def address(self) -> GossipAddress:
+        """Return where this process receives datagrams."""
+        return self._ports.address(self.table.me.role, self.table.me.host)
+
     async def run(self) -> None:
         """Take part until the task is cancelled."""
         await self._transport.open(self.receive)
@@ -118,10 +123,10 @@
         finally:
             self._transport.close()
 
-    def set_seeds(self, hosts: list[str]) -> None:
+    def set_seeds(self, hosts: Iterable[str]) -> None:
         """Take the hosts whose processes are asked to let this one take part."""
         self._seeds = {self._ports.address(role, host) for host in hosts for role in Role}
-        self._seeds.discard(self._ports.address(self.table.me.role, self.table.me.host))
+        self._seeds.discard(self.address)
 
     def announce(self) -> None:
         """Tell some members at once which configuration version is in force."""
@@ -142,7 +147,7 @@
     def paused(self, now_s: float) -> None:
         """Ask for the view anew after this process was paused."""
         self.detector.paused(now_s)
-        self.spread.confirmation.reset()
+        self.spread.confirmation.paused(now_s)
         for member in self._some_members(ANNOUNCE_FANOUT):
             self.send(member, Ping(0))
 
--- a/fighinge/process.py
+++ b/fighinge/process.py
@@ -26,6 +26,7 @@
 from fighinge.membership.zone_return import ZoneReturns
 from fighinge.pauses import PauseWatch
 from fighinge.settings import Settings, read_settings
+from fighinge.status import StatusSource, create_status_server
 from fighinge.stop import StopRequest
 
 if TYPE_CHECKING:
@@ -51,6 +52,8 @@
         "pauses",
         "platform",
         "settings",
+        "status",
+        "status_server",
         "stop_request",
         "store",
     )
@@ -69,6 +72,7 @@
         self.membership = _membership(settings, Role(role), self.store, self.board, self._random)
         returns = ZoneReturns(self.board, clock)
         self.store.listen(returns.configure)
+        self.membership.set_seeds(settings.gossip_seeds)
         self.pauses.listen(self.membership.paused)
         self.fleet = Fleet(
             Ports(settings.entry_port, settings.aggregator_port),
@@ -78,20 +82,35 @@
             settings.keep_s,
             clock,
         )
+        self.status = StatusSource(self.membership, self.store, self.board, self.fleet, clock)
+        self.status_server = create_status_server(self.status)
         self.admission = Admission(
             settings.zone, self.store, self.membership.spread, self.pauses, clock
         )
 
     def start(self) -> None:
-        """Take part in the fleet and follow the platform."""
+        """Take part in the fleet and follow the platform.
+
+        :raises OSError: if the address for operators is taken
+        """
         clock = asyncio.get_running_loop().time
+        me = self.membership.address
+        self.status_server.listen(me.port, me.host)
         watcher = ConfigurationWatcher(
             self.platform, self.store, self.membership, clock, self._random
         )
         self.spawn(self.pauses.run())
         self.spawn(self.membership.run())
         self.spawn(watcher.run())
-        self.spawn(follow_host_list(self.platform, self.membership, self.fleet.take, self._random))
+        self.spawn(
+            follow_host_list(
+                self.platform,
+                self.membership,
+                self.settings.gossip_seeds,
+                self.fleet.take,
+                self._random,
+            )
+        )
 
     def spawn(self, work: Coroutine) -> None:
         """Run a task until the process stops; its failure stops the process."""
@@ -109,6 +128,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self.status_server.stop()
         self.platform.close()
         if self.failed:
             sys.exit(EXIT_FAILED)
--- a/standins/datagrams.py
+++ b/standins/datagrams.py
@@ -26,10 +26,12 @@
         self.blocked: Callable[[str, str], bool] = lambda _sender, _receiver: False
         self.receivers: dict[GossipAddress, Callable[[bytes, str], None]] = {}
         self.delivered = 0
+        self.largest_bytes = 0
         self._random = random.Random(seed)
 
     def deliver(self, data: bytes, sender: GossipAddress, receiver: GossipAddress) -> None:
         """Carry one datagram."""
+        self.largest_bytes = max(self.largest_bytes, len(data))
         if self.blocked(sender.host, receiver.host) or self._random.random() < self.loss:
             return
         latency_s = LATENCY_S * (0.5 + self._random.random())
@@ -48,9 +50,11 @@
     def __init__(self, network: DatagramNetwork, address: GossipAddress) -> None:
         self._network = network
         self._address = address
+        self._receive: Callable[[bytes, str], None] | None = None
 
     async def open(self, receive: Callable[[bytes, str], None]) -> None:
         """Start to receive."""
+        self._receive = receive
         self._network.receivers[self._address] = receive
 
     def send(self, data: bytes, address: GossipAddress) -> None:
@@ -59,4 +63,5 @@
 
     def close(self) -> None:
         """Stop to receive."""
-        self._network.receivers.pop(self._address, None)
+        if self._network.receivers.get(self._address) is self._receive:
+            del self._network.receivers[self._address]
