--- a/tests/histories/processes.py
+++ b/tests/histories/processes.py
@@ -114,7 +114,7 @@
             self.pauses.run(),
             self.membership.run(),
             watcher.run(),
-            follow_host_list(reader, self.membership, self.fleet.take, self.random),
+            follow_host_list(reader, self.membership, (), self.fleet.take, self.random),
         ]
 
     def pause(self) -> None:
