--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -30,6 +30,7 @@
 SILENCE_SHARE = 0.3
 SILENCE_FACTOR = 4.0
 SILENCE_MIN_S = 0.02
+LEAST_WAIT_S = 0.0001
 
 
 class QueryTerms(msgspec.Struct, frozen=True, kw_only=True):
@@ -70,8 +71,8 @@
     """Collects the parts of one query until all groups answered or time is up.
 
     ``sent`` stays false only while it is certain that no backend server was sent the request.
-    ``replaceable`` tells that the query may be planned again, so that a run whose snapshot
-    vanishes ends at once.
+    ``is_replaceable`` tells whether the query would be planned again on a snapshot that promises
+    more, so that a run whose snapshot vanishes ends at once.
     """
 
     __slots__ = (
@@ -86,7 +87,7 @@
         "_silence_s",
         "_terms",
         "collector",
-        "replaceable",
+        "is_replaceable",
         "retry_after_s",
         "sent",
         "snapshot",
@@ -107,7 +108,7 @@
         self.traces: list[GroupTrace] = []
         self.sent = False
         self.retry_after_s = 0.0
-        self.replaceable = False
+        self.is_replaceable: Callable[[], bool] = lambda: False
         self._terms = terms
         self._plan = plan
         self._context = context
@@ -122,9 +123,13 @@
     @property
     def vanished(self) -> bool:
         """Return whether many shards are no longer served at the snapshot."""
-        return self.collector.missing_of(VANISHED_KINDS) >= VANISHED_SHARE * len(
-            self.snapshot.shards
-        )
+        return 1 - self.reachable_share >= VANISHED_SHARE
+
+    @property
+    def reachable_share(self) -> float:
+        """Return the share of the shards that may still be served at the snapshot."""
+        vanished = self.collector.missing_of(VANISHED_KINDS)
+        return 1 - vanished / len(self.snapshot.shards)
 
     async def run(self) -> None:
         """Send everything and wait for all groups, the early answer or the deadline."""
@@ -209,7 +214,7 @@
         if self._terms.repeatable:
             waits = [c.sent_s + self._silence_s for c in self._calls.values() if not c.checked]
             check_s = min([check_s, *waits])
-        return max(check_s, now_s)
+        return max(check_s, now_s + LEAST_WAIT_S)
 
     def _check(self, now_s: float) -> None:
         if self._answers_early(now_s):
@@ -260,7 +265,7 @@
         if len(outcome.parts) < len(shards):
             answered = {part.shard for part in outcome.parts}
             self.collector.add_unanswered(shard for shard in shards if shard not in answered)
-        if self.replaceable and outcome.missing and self.vanished:
+        if outcome.missing and self.vanished and self.is_replaceable():
             self._done.set()
 
     def _is_asked_elsewhere(self, group: str) -> bool:
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -35,6 +35,7 @@
 logger = logbook.Logger(__name__)
 
 ANSWER_SLACK_S = 0.002
+FOLLOW_INTERVAL_S = 0.05
 REPLAN_LEAST_LEFT_SHARE = 0.25
 INCARNATION_BITS = 31
 CALLS_BITS = 32
@@ -107,6 +108,7 @@
         "_clock",
         "_document",
         "_fleet",
+        "_follow_again_s",
         "_links",
         "_name",
         "_planner",
@@ -131,6 +133,7 @@
         self._document: Document | None = None
         self._planner: Planner | None = None
         self._version = 0
+        self._follow_again_s = 0.0
         self._times = ResponseTimes()
         self._budgets: dict[str, ExtraLoadBudget] = {}
         self.snapshots = snapshots
@@ -140,6 +143,7 @@
         self._version = version
         self._document = document
         self._planner = Planner(document)
+        self._follow_again_s = 0.0
 
     @property
     def ready(self) -> bool:
@@ -186,7 +190,7 @@
         name = query.service.collection
         collection = self._document.collections[name]
         if query.cursor is None:
-            self._planner.follow(self._fleet.aggregators())
+            self._follow_fleet(query.started_s)
             return self.snapshots.choose(name, collection, self._planner, query.started_s)
         snapshot = collection.snapshot(query.cursor.index_version)
         if snapshot is None:
@@ -194,6 +198,12 @@
             return Failure(ErrorKind.SNAPSHOT_GONE, reason, "cursor")
         return snapshot
 
+    def _follow_fleet(self, now_s: float) -> None:
+        """Take over which aggregators take work, not at each query but soon after a change."""
+        if now_s >= self._follow_again_s:
+            self._planner.follow(self._fleet.aggregators())
+            self._follow_again_s = now_s + FOLLOW_INTERVAL_S
+
     async def _run(self, query: Query, snapshot: Snapshot, *, may_repeat: bool) -> QueryRun:
         service, request = query.service, query.request
         search = query.search()
@@ -208,7 +218,7 @@
             fingerprint=fingerprint(query.service_name, search),
             configuration_version=self._version,
         )
-        self._planner.follow(self._fleet.aggregators())
+        self._follow_fleet(self._clock())
         plan = self._planner.plan(service.collection, snapshot)
         context = RunContext(
             self._links,
@@ -219,12 +229,13 @@
         )
         rule = EarlyAnswerRule.from_service(service, query.started_s, query.deadline_s)
         run = QueryRun(terms, plan, context, query.deadline_s, rule)
-        run.replaceable = may_repeat and request.repeatable
+        if may_repeat and request.repeatable:
+            run.is_replaceable = lambda: self._better_snapshot(query, run) is not None
         await run.run()
         return run
 
-    def _newer_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
-        """Return the snapshot to plan a query on again, if it may be and that promises more."""
+    def _better_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
+        """Return a snapshot that promises more than a run on a vanished one can still reach."""
         if query.cursor is not None or not run.vanished:
             return None
         if run.sent and not query.request.repeatable:
@@ -239,8 +250,14 @@
         if other is None:
             return None
         served = self.snapshots.served_share(name, other, self._planner, now_s)
-        if served <= run.collector.share:
+        return other if served > run.reachable_share else None
+
+    def _newer_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
+        """Return the snapshot to plan a query on again, if its class may place the load."""
+        other = self._better_snapshot(query, run)
+        if other is None:
             return None
+        name = query.service.collection
         plan = self._planner.plan(name, other)
         if not self._budget(query.service.query_class, 0).spend(len(plan.groups)):
             return None
