--- a/fighinge/entry/canary.py
+++ b/fighinge/entry/canary.py
@@ -2,26 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
+import enum
 from collections import OrderedDict
-from typing import TYPE_CHECKING, Literal
+from typing import TYPE_CHECKING
 
 import msgspec
 
+from fighinge.aggregator.base import CallFault
 from fighinge.errors import ErrorKind
 from fighinge.ownership import rendezvous_weight
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
+    from fighinge.entry.query_plan import QueryPlan
     from fighinge.messages import GroupOutcome
-
-CanaryRule = Literal["always", "after_loss", "off"]
+    from fighinge.model import Service
+    from fighinge.queries import GroupTrace
 
 PROVEN_LIFETIME_S = 600.0
 MAX_PROVEN = 100_000
 SECOND_CANARY_SHARE = 0.15
 RELEASE_SHARE = 0.5
-SUSPICIOUS_KINDS = frozenset({ErrorKind.BACKEND_LOST, ErrorKind.QUARANTINED})
 
 
 class ProvenFingerprints:
@@ -49,6 +52,37 @@
         self._proven_until_s.pop(fingerprint, None)
 
 
+class Canaries:
+    """Decides which queries of an entry need a canary, and learns from how they end."""
+
+    __slots__ = ("_clock", "_proven")
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._proven = ProvenFingerprints()
+
+    def canary(
+        self, service: Service, fingerprint: str, plan: QueryPlan, deadline_s: float, now_s: float
+    ) -> CanaryRun | None:
+        """Return the canary of a query, or none where it needs none."""
+        groups = [name for name, group in plan.groups.items() if group.owners]
+        if service.canary == "off" or len(groups) < 2:
+            return None
+        if self._proven.holds(fingerprint, now_s):
+            return None
+        times = CanaryTimes.from_deadline(now_s, deadline_s)
+        return CanaryRun(canary_order(fingerprint, groups), times, self._clock)
+
+    def learn(
+        self, fingerprint: str, traces: list[GroupTrace], now_s: float, *, is_answered: bool
+    ) -> None:
+        """Take a query for proven, or no longer where a server was lost in running it."""
+        if any(_lost_server(trace) for trace in traces):
+            self._proven.remove(fingerprint)
+        elif is_answered:
+            self._proven.add(fingerprint, now_s)
+
+
 class CanaryTimes(msgspec.Struct, frozen=True):
     """When to ask a second group, and when to ask all of them without any answer."""
 
@@ -71,13 +105,67 @@
     return sorted(groups, key=lambda group: rendezvous_weight(group, fingerprint), reverse=True)
 
 
-def is_proof(outcome: GroupOutcome) -> bool:
-    """Return whether a canary's outcome shows that backend servers survive the request."""
-    return bool(outcome.parts)
+class CanaryVerdict(enum.Enum):
+    """Whether the other groups of a query may be asked."""
+
+    RELEASED = "released"
+    STOPPED = "stopped"
+
+
+class CanaryRun:
+    """Asks one group of a query before all others, and a second one if the first is slow.
+
+    A group that answers releases the others. So does the release time, for a request that
+    crashes backend servers shows it by lost connections, not by silence.
+    """
+
+    __slots__ = ("_clock", "_groups", "_outcomes", "_times")
+
+    def __init__(self, groups: list[str], times: CanaryTimes, clock: Callable[[], float]) -> None:
+        self._groups = groups
+        self._times = times
+        self._clock = clock
+        self._outcomes: asyncio.Queue[GroupOutcome] = asyncio.Queue()
+
+    def outcome(self, outcome: GroupOutcome) -> None:
+        """Take the outcome of a group that was asked."""
+        self._outcomes.put_nowait(outcome)
+
+    async def run(self, ask: Callable[[str], None]) -> CanaryVerdict:
+        """Ask groups one after the other until it is clear whether to ask the others."""
+        groups = iter(self._groups)
+        ask(next(groups))
+        until_s = self._times.second_s
+        while True:
+            outcome = await self._next(until_s)
+            if outcome is None and until_s == self._times.release_s:
+                return CanaryVerdict.RELEASED
+            if outcome is None:
+                until_s = self._times.release_s
+            elif outcome.parts:
+                return CanaryVerdict.RELEASED
+            elif is_suspicious(outcome):
+                return CanaryVerdict.STOPPED
+            group = next(groups, None)
+            if group is None:
+                return CanaryVerdict.RELEASED
+            ask(group)
+
+    async def _next(self, until_s: float) -> GroupOutcome | None:
+        try:
+            async with asyncio.timeout(max(0.0, until_s - self._clock())):
+                return await self._outcomes.get()
+        except TimeoutError:
+            return None
 
 
 def is_suspicious(outcome: GroupOutcome) -> bool:
-    """Return whether a canary's outcome speaks against asking anyone else."""
+    """Return whether an outcome shows that the request costs backend servers."""
     return not outcome.parts and any(
-        missing.kind in SUSPICIOUS_KINDS for missing in outcome.missing
+        missing.kind is ErrorKind.QUARANTINED for missing in outcome.missing
     )
+
+
+def _lost_server(trace: GroupTrace) -> bool:
+    lost = CallFault.CONNECTION_LOST.value
+    return any(attempt.result == lost for attempt in trace.attempts)
--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from fighinge.entry.canary import CanaryVerdict
 from fighinge.entry.merge import PartCollector
 from fighinge.errors import ErrorKind
 from fighinge.messages import GroupShards, SubQuery, failed_group
@@ -16,6 +17,7 @@
     from collections.abc import Callable, Iterable
 
     from fighinge.entry.base import AggregatorLinks
+    from fighinge.entry.canary import CanaryRun
     from fighinge.entry.coverage import EarlyAnswerRule
     from fighinge.entry.extra_load import ExtraLoadBudget
     from fighinge.entry.query_plan import PlannedGroup, QueryPlan
@@ -77,6 +79,7 @@
 
     __slots__ = (
         "_calls",
+        "_canary",
         "_context",
         "_deadline_s",
         "_done",
@@ -86,6 +89,7 @@
         "_rule",
         "_silence_s",
         "_terms",
+        "_unasked",
         "collector",
         "is_replaceable",
         "retry_after_s",
@@ -101,6 +105,7 @@
         context: RunContext,
         deadline_s: float,
         rule: EarlyAnswerRule | None = None,
+        canary: CanaryRun | None = None,
     ) -> None:
         search = terms.search
         self.snapshot = plan.snapshot
@@ -114,6 +119,8 @@
         self._context = context
         self._deadline_s = deadline_s
         self._rule = rule
+        self._canary = canary
+        self._unasked = {name for name, group in plan.groups.items() if group.owners}
         self._silence_s = 0.0
         self._pending = dict.fromkeys(plan.groups, 0.0)
         self._next_owner: dict[str, int] = {}
@@ -140,10 +147,16 @@
             max(SILENCE_MIN_S, SILENCE_FACTOR * self._context.times.slow_s()),
         )
         self._pending = dict.fromkeys(self._plan.groups, started_s)
-        try:
+        canary = None
+        if self._canary is None:
             self._send_planned()
+        else:
+            canary = asyncio.create_task(self._send_after_canary(self._canary))
+        try:
             await self._wait(started_s)
         finally:
+            if canary is not None:
+                canary.cancel()
             self.cancel()
 
     def cancel(self) -> None:
@@ -170,6 +183,8 @@
         if self._wants_replacement(outcome) and self._has_next_owner(outcome.group):
             self._send([outcome.group], takeover=True)
             return
+        if self._canary is not None:
+            self._canary.outcome(outcome)
         self._collect(shards, outcome)
         if not outcome.parts and self._is_asked_elsewhere(outcome.group):
             return
@@ -275,11 +290,33 @@
     def _has_next_owner(self, group: str) -> bool:
         return self._next_owner.get(group, 1) < len(self._plan.groups[group].owners)
 
+    async def _send_after_canary(self, canary: CanaryRun) -> None:
+        """Ask one group, and the others once that is known to cost no backend servers."""
+        verdict = await canary.run(self._send_canary)
+        if verdict is CanaryVerdict.RELEASED:
+            self._send_planned()
+            return
+        reason = "not asked, since the request cost backend servers elsewhere"
+        for group in self._unasked | set(self._plan.unowned):
+            self._fail(group, ErrorKind.QUARANTINED, reason)
+
+    def _send_canary(self, group: str) -> None:
+        planned = self._plan.groups[group]
+        self._unasked.discard(group)
+        self._pending[group] = self._context.clock()
+        self._send_to(planned.owners[0], (planned.wanted,), takeover=False)
+
     def _send_planned(self) -> None:
+        """Ask the owners of all groups that were not asked yet."""
         for group in self._plan.unowned:
             self._fail(group, ErrorKind.OWNER_UNREACHABLE, "no aggregator takes work")
-        for owner, wanted in self._plan.by_owner.items():
-            self._send_to(owner, wanted, takeover=False)
+        now_s = self._context.clock()
+        for owner, planned in self._plan.by_owner.items():
+            wanted = tuple(shards for shards in planned if shards.group in self._unasked)
+            self._pending.update((shards.group, now_s) for shards in wanted)
+            if wanted:
+                self._send_to(owner, wanted, takeover=False)
+        self._unasked.clear()
 
     def _send(self, groups: Iterable[str], *, takeover: bool) -> None:
         by_owner: dict[str, list[GroupShards]] = {}
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -11,6 +11,7 @@
 import msgspec
 import xxhash
 
+from fighinge.entry.canary import Canaries
 from fighinge.entry.coverage import EarlyAnswerRule
 from fighinge.entry.cursors import Cursor, decode_cursor, encode_cursor, search_name
 from fighinge.entry.extra_load import ExtraLoadBudget
@@ -105,6 +106,7 @@
     __slots__ = (
         "_budgets",
         "_calls",
+        "_canaries",
         "_clock",
         "_document",
         "_fleet",
@@ -133,6 +135,7 @@
         self._document: Document | None = None
         self._planner: Planner | None = None
         self._version = 0
+        self._canaries = Canaries(clock)
         self._follow_again_s = 0.0
         self._times = ResponseTimes()
         self._budgets: dict[str, ExtraLoadBudget] = {}
@@ -228,10 +231,15 @@
             self._budget(service.query_class, len(plan.groups)),
         )
         rule = EarlyAnswerRule.from_service(service, query.started_s, query.deadline_s)
-        run = QueryRun(terms, plan, context, query.deadline_s, rule)
+        now_s = self._clock()
+        canary = self._canaries.canary(service, terms.fingerprint, plan, query.deadline_s, now_s)
+        run = QueryRun(terms, plan, context, query.deadline_s, rule, canary)
         if may_repeat and request.repeatable:
             run.is_replaceable = lambda: self._better_snapshot(query, run) is not None
         await run.run()
+        self._canaries.learn(
+            terms.fingerprint, run.traces, self._clock(), is_answered=run.collector.share > 0
+        )
         return run
 
     def _better_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
--- a/fighinge/model.py
+++ b/fighinge/model.py
@@ -94,7 +94,8 @@
     """A query service over a collection.
 
     ``rule`` says whether to answer early with less or to wait for coverage;
-    below ``minimum_coverage`` the answer is an error.
+    below ``minimum_coverage`` the answer is an error. ``canary`` says whether a query that
+    was not answered lately is tried on one replica group before all others are asked.
     """
 
     collection: str
@@ -104,6 +105,7 @@
     rule: Literal["latency_first", "coverage_first"] = "coverage_first"
     soft_deadline_s: Seconds | None = None
     minimum_coverage: Share = 0.0
+    canary: Literal["always", "off"] = "always"
 
 
 class Document(Checked, kw_only=True):
--- /dev/null
+++ b/tests/test_canary.py
@@ -0,0 +1,86 @@
+"""Tests of the canary of a query."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fighinge.entry.canary import (
+    MAX_PROVEN,
+    PROVEN_LIFETIME_S,
+    CanaryRun,
+    CanaryTimes,
+    CanaryVerdict,
+    ProvenFingerprints,
+    canary_order,
+)
+from fighinge.errors import ErrorKind
+from fighinge.messages import GroupOutcome, ShardPart, failed_group
+from tests import virtual_time
+
+
+def answered(group):
+    return GroupOutcome(group=group, parts=[ShardPart("s", 1, [], 0)], sent=True)
+
+
+def failed(group, kind):
+    return failed_group(group, ["s"], kind, "", sent=True)
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "asked", "verdict"),
+    [
+        ([answered], ["g1"], CanaryVerdict.RELEASED),
+        ([lambda group: failed(group, ErrorKind.QUARANTINED)], ["g1"], CanaryVerdict.STOPPED),
+        (
+            [lambda group: failed(group, ErrorKind.NO_REPLICA), answered],
+            ["g1", "g2"],
+            CanaryVerdict.RELEASED,
+        ),
+        ([None, answered], ["g1", "g2"], CanaryVerdict.RELEASED),
+        ([None, None], ["g1", "g2"], CanaryVerdict.RELEASED),
+        (
+            [None, lambda group: failed(group, ErrorKind.QUARANTINED)],
+            ["g1", "g2"],
+            CanaryVerdict.STOPPED,
+        ),
+    ],
+)
+def test_groups_asked_before_the_others(outcomes, asked, verdict):
+    async def run():
+        clock = asyncio.get_running_loop().time
+        times = CanaryTimes.from_deadline(clock(), clock() + 1.0)
+        canary = CanaryRun(["g1", "g2", "g3"], times, clock)
+        seen = []
+
+        def ask(group):
+            outcome = outcomes[len(seen)]
+            seen.append(group)
+            if outcome is not None:
+                canary.outcome(outcome(group))
+
+        return await canary.run(ask), seen
+
+    assert virtual_time.run(run()) == (verdict, asked)
+
+
+def test_every_entry_finds_the_same_first_group():
+    groups = [f"g{number}" for number in range(20)]
+    assert canary_order("f", groups) == canary_order("f", reversed(groups))
+    assert len({canary_order(f"f{number}", groups)[0] for number in range(100)}) > 10
+
+
+def test_proof_expires():
+    proven = ProvenFingerprints()
+    proven.add("f", 10.0)
+    assert proven.holds("f", 10.0 + PROVEN_LIFETIME_S - 1)
+    assert not proven.holds("f", 10.0 + PROVEN_LIFETIME_S)
+
+
+def test_proofs_are_bounded():
+    proven = ProvenFingerprints()
+    for number in range(MAX_PROVEN + 1):
+        proven.add(f"f{number}", 10.0)
+    assert not proven.holds("f0", 10.0)
+    assert proven.holds(f"f{MAX_PROVEN}", 10.0)
