Spare the state polls of servers whose answers tell their state

Cause: each held backend server was polled twice a second beside its calls; a poll costs as much as a call. Change: a server that told its state in an answer within the last half second is not polled.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 bench: $(STAMP)  ## Measure every scenario and write docs/MEASUREMENTS.md
 	$(RUN) -m benchmarks --all
+	-$(RUN) -m benchmarks.capacity >/dev/null
 
 SEED ?= 1
 soak: $(STAMP)  ## Check many more drawn histories than the tests do
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -15,10 +15,12 @@
 from benchmarks.scenarios import SCENARIOS, find
 
 if TYPE_CHECKING:
+    from benchmarks.results import ScenarioResult
     from benchmarks.scenarios import Scenario
 
 RESULTS = Path(__file__).parent / "results"
 PAGE = Path(__file__).parent.parent / "docs" / "MEASUREMENTS.md"
+SCENARIO_TIMEOUT_S = 180.0
 EXIT_UNKNOWN_NAME = 2
 
 
@@ -58,10 +60,15 @@
 
 
 def _measure(scenario: Scenario, seed: int) -> bytes:
-    result = asyncio.run(run_scenario(scenario, seed))
+    result = asyncio.run(_bounded(scenario, seed))
     return msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n"
 
 
+async def _bounded(scenario: Scenario, seed: int) -> ScenarioResult:
+    async with asyncio.timeout(SCENARIO_TIMEOUT_S):
+        return await run_scenario(scenario, seed)
+
+
 def _measure_all(seed: int) -> None:
     """Measure every scenario; one that fails is told and leaves its place on the page empty."""
     RESULTS.mkdir(exist_ok=True)
--- a/fighinge/aggregator/backend_server.py
+++ b/fighinge/aggregator/backend_server.py
@@ -46,6 +46,7 @@
         "_paused_until_s",
         "_policy",
         "_reported_cold",
+        "_state_s",
         "_trend",
         "_unreachable_until_s",
         "address",
@@ -89,6 +90,7 @@
         self._limit = AdaptiveLimit(self.slots, is_fixed=not self._policy.adaptive_limit)
         self._trend = LatencyTrend()
         self._configured_cold = False
+        self._state_s = float("-inf")
         self._reported_cold = False
         self._drain_seen_s = float("-inf")
         self._drain_was_reported = False
@@ -208,6 +210,10 @@
         self._contacted(state.process_id, now_s)
         self._take_state(state, now_s)
 
+    def has_fresh_state(self, now_s: float, within_s: float) -> bool:
+        """Return whether the server has told its state in the last ``within_s``."""
+        return now_s - self._state_s < within_s
+
     def unreachable(self, now_s: float) -> None:
         """Learn that the server does not accept connections."""
         if self._absent_since_s is None:
@@ -252,6 +258,7 @@
             self.turn_cold("back after absence", now_s)
 
     def _take_state(self, state: ServerState, now_s: float) -> None:
+        self._state_s = now_s
         self.index_versions = state.index_versions
         self._take_drain(state.state == "draining", now_s)
         is_cold = state.state == "cold"
--- a/fighinge/aggregator/service.py
+++ b/fighinge/aggregator/service.py
@@ -171,15 +171,20 @@
             self.cancel(entry, call)
 
     async def poll_states(self) -> None:
-        """Review the ownership and ask the held servers for their states, again and again."""
+        """Review the ownership and ask the held servers for their states, again and again.
+
+        A server whose answers have told its state lately is not asked.
+        """
         while True:
             self.review()
+            now_s = self._shared.clock()
             await asyncio.gather(
                 *(
                     group.poll(server)
                     for group in self._groups.values()
                     for server in group.servers.values()
                     if server.zone_in_service
+                    and not server.has_fresh_state(now_s, STATE_INTERVAL_S)
                 )
             )
             await asyncio.sleep(STATE_INTERVAL_S)
--- a/tests/test_backend_server.py
+++ b/tests/test_backend_server.py
@@ -6,7 +6,7 @@
 
 from fighinge.aggregator.backend_server import connection_quota
 from fighinge.aggregator.base import CallFailure, CallFault
-from fighinge.messages import BackendRefusal, ServerState
+from fighinge.messages import BackendAnswer, BackendRefusal, ServerState
 from tests.backend_builders import answer, server, warm_server
 
 
@@ -134,3 +134,12 @@
 def test_two_owners_stay_below_the_connection_limit(slots, limit):
     assert connection_quota(slots, limit) >= 1
     assert 2 * connection_quota(slots, limit) < limit
+
+
+@pytest.mark.parametrize(("state", "is_fresh"), [(ServerState("p1"), True), (None, False)])
+def test_only_an_answer_that_tells_the_state_spares_a_poll(state, is_fresh):
+    asked = server()
+    asked.started("f")
+    asked.finished("f", "desk", BackendAnswer("p1", state=state), 0.01, 5.0)
+    assert asked.has_fresh_state(5.4, within_s=0.5) is is_fresh
+    assert not asked.has_fresh_state(5.5, within_s=0.5)
