--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from benchmarks.report import read_result
-from benchmarks.results import slope, worst_deviation
+from benchmarks.results import growth, worst_deviation
 from benchmarks.shapes import Shape
 
 RESULTS = Path(__file__).parent / "results"
@@ -26,6 +26,7 @@
 READERS_PER_ZONE = 3
 WATCH_WAIT_S = 20.0
 SPARE_READS_PER_S = 300.0
+POLLS_PER_S = 2.0
 BATCH_WINDOW_S = 0.005
 RELAYS = 21
 LIMITS = {"processor_share": 0.013, "rss_bytes": 128 * 1024**2, "bytes_per_s": 29_000}
@@ -42,8 +43,8 @@
 
     @classmethod
     def through(cls, points: list[tuple[float, float]]) -> Line:
-        """Return the least-squares line through points."""
-        gradient, intercept = slope(points)
+        """Return the least-squares line through points, level where it would fall."""
+        gradient, intercept = growth(points)
         sizes = [x for x, _y in points]
         deviation = worst_deviation(points, gradient, intercept)
         return cls(gradient, intercept, deviation, min(sizes), max(sizes))
@@ -99,6 +100,7 @@
         "entry_alone_ms": f"{entry.intercept:.2f}",
         "entry_deviation": f"{entry.deviation:.0%}",
         "fan_out_range": f"{call.lowest:g} to {call.highest:g}",
+        "relays": str(RELAYS),
         "calls_per_s": _number(calls),
         "calls_per_core": _number(1000 / call.gradient),
         "call_cores": _number(calls * call.gradient / 1000),
@@ -108,6 +110,7 @@
         "entry_cores": _number(queries * entry.at(FAN_OUT) / 1000),
         "entry_relay_cores": _number(queries * entry.at(RELAYS) / 1000),
         "servers_per_daemon": f"{servers:.1f}",
+        "poll_share": f"{servers * POLLS_PER_S * call.gradient / 1000:.4f}",
         "batches_per_s": _number(batches),
         "queries_per_batch": _number(calls / batches),
         "batch_cores": _number(batches * call.gradient / 1000),
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 from typing import TYPE_CHECKING
@@ -57,8 +58,10 @@
 
 async def run_scenario(scenario: Scenario, seed: int) -> results.ScenarioResult:
     """Run every policy of a scenario, one after the other."""
+    load_average = round(os.getloadavg()[0], 1)
     policies = [await _run_policy(scenario, policy, seed) for policy in scenario.policies]
-    return results.ScenarioResult(scenario.name, seed, [result.flat() for result in policies])
+    flat = [result.flat() for result in policies]
+    return results.ScenarioResult(scenario.name, seed, load_average, flat)
 
 
 async def _run_policy(scenario: Scenario, policy: str, seed: int) -> results.PolicyResult:
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from benchmarks.results import coverage, percentiles, share_of, slope
+from benchmarks.results import coverage, growth, percentiles, share_of, slope
 from fighinge.queries import QueryError
 
 if TYPE_CHECKING:
@@ -131,7 +131,7 @@
         )
     found: dict[str, object] = {"points": points, "slopes": {}, "at_460": {}}
     for name in ("processor_share", "rss_bytes", "bytes_per_s"):
-        gradient, intercept = slope([(point["processes"], point[name]) for point in points])
+        gradient, intercept = growth([(point["processes"], point[name]) for point in points])
         found["slopes"][name] = [gradient, intercept]
         found["at_460"][name] = round(gradient * TARGET_PROCESSES + intercept, 5)
     return found
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -95,12 +95,15 @@
     lines += [f"Fleet: {_fleet(scenario)}. Command: {_command(result)}\n", *_table(result), ""]
     for policy in result["policies"]:
         own = {name: value for name, value in policy.items() if name not in COMMON}
-        lines += [f"- {policy['policy']}, {name}: {_shown(value)}" for name, value in own.items()]
+        told = [f"{name} {_shown(value)}" for name, value in own.items()]
+        lines += [f"- {policy['policy']}: {'; '.join(told)}"] if told else []
     return "\n".join(lines) + "\n"
 
 
 def _command(result: dict) -> str:
-    return f"`python -m benchmarks {result['scenario']} --seed {result['seed']}`."
+    load = result.get("load_average")
+    before = f" Load average of the machine before it: {load}." if load is not None else ""
+    return f"`python -m benchmarks {result['scenario']} --seed {result['seed']}`.{before}"
 
 
 def _fleet(scenario: Scenario) -> str:
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -39,10 +39,11 @@
 
 
 class ScenarioResult(msgspec.Struct):
-    """All policies of one scenario."""
+    """All policies of one scenario; the load average is the machine's before the run."""
 
     scenario: str
     seed: int
+    load_average: float
     policies: list[dict[str, object]]
 
 
@@ -93,6 +94,12 @@
     return gradient, mean_y - gradient * mean_x
 
 
+def growth(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return the line through points; a falling one counts as level, at the highest point."""
+    gradient, intercept = slope(points)
+    return (gradient, intercept) if gradient > 0 else (0.0, max(y for _x, y in points))
+
+
 def worst_deviation(points: list[tuple[float, float]], gradient: float, intercept: float) -> float:
     """Return how far a point lies off a line at most, as a share of the largest value."""
     largest = max(abs(y) for _x, y in points) or 1.0
