--- a/fighinge/aggregator/http_client.py
+++ b/fighinge/aggregator/http_client.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import logbook
 import msgspec
 from tornado.httpclient import HTTPRequest
 
@@ -22,6 +23,8 @@
 
     from fighinge.curl import CurlClient
 
+logger = logbook.Logger(__name__)
+
 CONNECT_TIMEOUT_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
 MAX_CONCURRENT_CALLS = 1000
@@ -101,10 +104,13 @@
 
 
 def _failure(failure: TransferFailure) -> CallFailure:
+    """Return a failure whose reason callers may see: it tells no address."""
+    logger.debug("call failed: {}", failure.reason)
     if not failure.sent:
-        return CallFailure(CallFault.NOT_CONNECTED, failure.reason)
-    fault = CallFault.TIMEOUT if failure.timed_out else CallFault.CONNECTION_LOST
-    return CallFailure(fault, failure.reason)
+        return CallFailure(CallFault.NOT_CONNECTED, "the backend server takes no connection")
+    if failure.timed_out:
+        return CallFailure(CallFault.TIMEOUT, "no answer from the backend server in time")
+    return CallFailure(CallFault.CONNECTION_LOST, "the connection to the backend server was lost")
 
 
 def _decode(body: bytes, message_type: type):
--- /dev/null
+++ b/tests/test_contracts.py
@@ -0,0 +1,288 @@
+"""Contract tests of the interfaces to outside systems, for each implementation of them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import msgspec
+import pytest
+from tornado.testing import bind_unused_port
+
+from fighinge.aggregator.base import Address, CallFault
+from fighinge.aggregator.http_client import HttpBackendClient
+from fighinge.configuration.base import HostEntry, Values
+from fighinge.configuration.platform_client import PlatformClient
+from fighinge.errors import Failure
+from fighinge.messages import BackendAnswer, BackendRefusal, BackendRequest, Search
+from fighinge.model import decode_document
+from standins import backend_http, platform_http
+from standins.backend import StandinServer
+from standins.direct import DirectBackendClient
+from standins.platform import PlatformBehaviour, StandinPlatform
+from tests.builders import raw_document
+
+TIMEOUT_S = 5.0
+CALL_CLIENTS = ("direct", "http")
+
+
+def _unused_port() -> int:
+    sock, port = bind_unused_port()
+    sock.close()
+    return port
+
+
+def _request(call_id="1", **changes) -> BackendRequest:
+    fields = {
+        "call_id": call_id,
+        "request_id": f"r{call_id}",
+        "collection": "c",
+        "index_version": 1,
+        "shards": ("s0000", "s0001"),
+        "search": Search(limit=3),
+        "remaining_ms": 1000.0,
+    }
+    return BackendRequest(**{**fields, **changes})
+
+
+@contextlib.asynccontextmanager
+async def _backend(implementation: str, **behaviour):
+    """Yield a stand-in, a client of it, and its address."""
+    raw = raw_document(servers=1)
+    raw["backend_servers"]["b0"]["port"] = _unused_port()
+    server = StandinServer("b0", decode_document(msgspec.json.encode(raw)), seed=1)
+    server.behaviour = msgspec.structs.replace(server.behaviour, **behaviour)
+    entry = server.document.backend_servers["b0"]
+    address = Address(entry.host, entry.port)
+    if implementation == "direct":
+        yield server, DirectBackendClient([server]), address
+        return
+    listening = backend_http.listen(server)
+    client = HttpBackendClient.create()
+    try:
+        yield server, client, address
+    finally:
+        client.close()
+        listening.stop()
+        await listening.close_all_connections()
+
+
+def _run(implementation, check, **behaviour):
+    async def run():
+        async with _backend(implementation, **behaviour) as parts:
+            await check(*parts)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("implementation", CALL_CLIENTS)
+class TestBackendClient:
+    """What an aggregator relies on."""
+
+    def test_answer_names_process_and_version_of_each_shard(self, implementation):
+        async def check(server, client, address):
+            answer = await client.search(address, _request(), TIMEOUT_S)
+            assert isinstance(answer, BackendAnswer)
+            assert answer.process_id == server.process_id
+            parts = [(part.shard, part.index_version, len(part.records)) for part in answer.parts]
+            assert parts == [("s0000", 1, 3), ("s0001", 1, 3)]
+
+        _run(implementation, check)
+
+    def test_refusal_has_its_reason(self, implementation):
+        async def check(server, client, address):
+            refusal = await client.search(address, _request(index_version=9), TIMEOUT_S)
+            assert isinstance(refusal, BackendRefusal)
+            assert (refusal.process_id, refusal.reason) == (server.process_id, "index_version")
+            assert server.executions == {}
+
+        _run(implementation, check)
+
+    def test_state_tells_what_is_held(self, implementation):
+        async def check(server, client, address):
+            state = await client.state(address, TIMEOUT_S)
+            assert (state.process_id, state.slots) == (server.process_id, 4)
+            assert state.index_versions == {"c": [1]}
+
+        _run(implementation, check)
+
+    def test_cancelled_call_ends(self, implementation):
+        async def check(server, client, address):
+            call = asyncio.create_task(client.search(address, _request(), TIMEOUT_S))
+            while not server.executions:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+            await client.cancel(address, "1")
+            refusal = await call
+            assert refusal.reason == "cancelled"
+
+        _run(implementation, check, service_ms=60_000.0)
+
+    def test_timeout_may_have_run(self, implementation):
+        async def check(_server, client, address):
+            failure = await client.search(address, _request(), 0.1)
+            assert failure.fault is CallFault.TIMEOUT
+
+        _run(implementation, check, service_ms=60_000.0)
+
+    @pytest.mark.parametrize(
+        ("point", "ran"),
+        [("accept", 0), ("before_run", 0), ("running", 1), ("before_answer", 1)],
+    )
+    @pytest.mark.parametrize("earlier_calls", [0, 1])
+    def test_dropped_call_is_lost_and_not_sent_again(
+        self, implementation, point, ran, earlier_calls
+    ):
+        async def check(server, client, address):
+            for number in range(earlier_calls):
+                await client.search(address, _request(f"earlier{number}"), TIMEOUT_S)
+            server.behaviour.drop_at, server.behaviour.drops_left = point, 1
+            failure = await client.search(address, _request(), TIMEOUT_S)
+            assert failure.fault is CallFault.CONNECTION_LOST
+            assert server.executions.get("r1", 0) == ran
+            assert isinstance(await client.search(address, _request("2"), TIMEOUT_S), BackendAnswer)
+            assert server.counters.searches == earlier_calls + 2
+
+        _run(implementation, check)
+
+    def test_crash_loses_every_call_in_flight_once(self, implementation):
+        async def check(server, client, address):
+            crashing = _request("x", search=Search(filter=msgspec.Raw(b'{"crash": "mark"}')))
+            results = await asyncio.gather(
+                client.search(address, crashing, TIMEOUT_S),
+                client.search(address, _request("1"), TIMEOUT_S),
+            )
+            assert [result.fault for result in results] == [CallFault.CONNECTION_LOST] * 2
+            assert server.counters.crashes == {"mark": 1}
+
+        _run(implementation, check, service_ms=20.0)
+
+
+def test_closed_connection_is_left_before_anything_is_sent():
+    async def check(server, client, address):
+        for number in range(4):
+            server.behaviour.drop_at, server.behaviour.drops_left = "after_answer", 1
+            answer = await client.search(address, _request(str(number)), TIMEOUT_S)
+            assert isinstance(answer, BackendAnswer)
+        assert server.executions == {f"r{number}": 1 for number in range(4)}
+
+    _run("http", check)
+
+
+def test_answer_that_breaks_off_is_lost():
+    async def check(server, client, address):
+        server.behaviour.drop_at, server.behaviour.drops_left = "in_answer", 1
+        failure = await client.search(address, _request(), TIMEOUT_S)
+        assert failure.fault is CallFault.CONNECTION_LOST
+        assert server.executions == {"r1": 1}
+
+    _run("http", check)
+
+
+@pytest.mark.parametrize("accepts", [False, True])
+def test_connection_that_is_never_made_proves_not_sent(accepts):
+    async def run():
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        fillers = _fill_backlog(sock) if accepts else []
+        client = HttpBackendClient.create()
+        address = Address("127.0.0.1", sock.getsockname()[1])
+        failure = await client.search(address, _request(), 0.3)
+        assert failure.fault is CallFault.NOT_CONNECTED
+        client.close()
+        for filler in [sock, *fillers]:
+            filler.close()
+
+    asyncio.run(run())
+
+
+def _fill_backlog(listening: socket.socket) -> list[socket.socket]:
+    """Listen with a full queue, so that further connections hang."""
+    listening.listen(0)
+    fillers = [socket.socket() for _ in range(3)]
+    for filler in fillers:
+        filler.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            filler.connect(listening.getsockname())
+    return fillers
+
+
+@contextlib.asynccontextmanager
+async def _platform(implementation: str):
+    """Yield a stand-in platform and a configuration service that reads it."""
+    platform = StandinPlatform()
+    if implementation == "direct":
+        yield platform, platform
+        return
+    port = _unused_port()
+    server = platform_http.listen(platform, "127.0.0.1", port)
+    client = PlatformClient(f"http://127.0.0.1:{port}", "contract")
+    try:
+        yield platform, client
+    finally:
+        client.close()
+        server.stop()
+        await server.close_all_connections()
+
+
+@pytest.mark.parametrize("implementation", ["direct", "http"])
+class TestConfigurationService:
+    """What readers of the platform rely on."""
+
+    def test_only_changes_after_a_revision_in_order_of_publication(self, implementation):
+        async def run():
+            async with _platform(implementation) as (platform, service):
+                for key in ("x/b", "y/c", "x/a"):
+                    await platform.publish(key, b"1")
+                values = await service.read("x/", 0, 0.0)
+                assert isinstance(values, Values)
+                assert list(values.values) == ["x/b", "x/a"]
+                assert list((await service.read("x/", 1, 0.0)).values) == ["x/a"]
+                assert (await service.read("x/", values.revision, 0.0)).values == {}
+
+        asyncio.run(run())
+
+    def test_watch_ends_with_a_change(self, implementation):
+        async def run():
+            async with _platform(implementation) as (platform, service):
+                watch = asyncio.create_task(service.read("x/", 0, 60.0))
+                await asyncio.sleep(0.05)
+                await platform.publish("y/a", b"1")
+                await platform.publish("x/a", b"2")
+                values = await asyncio.wait_for(watch, TIMEOUT_S)
+                assert {key: bytes(raw) for key, raw in values.values.items()} == {"x/a": b"2"}
+
+        asyncio.run(run())
+
+    def test_watch_ends_without_a_change(self, implementation):
+        async def run():
+            async with _platform(implementation) as (_, service):
+                assert (await service.read("x/", 0, 0.05)).values == {}
+
+        asyncio.run(run())
+
+    def test_stale_platform_shows_what_was(self, implementation):
+        async def run():
+            async with _platform(implementation) as (platform, service):
+                await platform.publish("x/a", b"1")
+                await platform.behave(PlatformBehaviour(stale=True))
+                await platform.publish("x/a", b"2")
+                values = await service.read("x/", 0, 0.0)
+                assert (values.revision, bytes(values.values["x/a"])) == (1, b"1")
+                await platform.behave(PlatformBehaviour())
+                assert bytes((await service.read("x/", 1, 0.0)).values["x/a"]) == b"2"
+
+        asyncio.run(run())
+
+
+def test_platform_that_is_down_is_a_failure_and_each_call_is_counted():
+    async def run():
+        async with _platform("http") as (platform, service):
+            platform.hosts = [HostEntry("10.0.0.7", "sa-1", "leaving")]
+            assert await service.hosts() == platform.hosts
+            platform.down = True
+            assert isinstance(await service.hosts(), Failure)
+            assert isinstance(await service.read("x/", 0, 0.0), Failure)
+            assert platform.calls == {"contract": 3}
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_protocols_page.py
@@ -0,0 +1,51 @@
+"""Tests that the page on protocols agrees with the code."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from fighinge import messages, queries
+from fighinge.configuration.base import HostEntry, Values
+from fighinge.errors import ANSWERS, ErrorKind
+from fighinge.model import Document, decode_document
+
+PAGE = (Path(__file__).parents[1] / "docs" / "protocols.md").read_text(encoding="utf-8")
+EXAMPLES = re.findall(r"<!-- (\S+) -->\n```json\n(.*?)```", PAGE, re.DOTALL)
+ERROR_ROW = re.compile(r"^\| `(\w+)` \| (\d{3}) \| (yes|no) \| (yes|no) \| \S", re.MULTILINE)
+OTHER_TYPES = {"Values": Values, "HostEntry[]": list[HostEntry], "Document": Document}
+
+
+def _type_of(name: str):
+    if name in OTHER_TYPES:
+        return OTHER_TYPES[name]
+    return getattr(queries, name, None) or getattr(messages, name)
+
+
+@pytest.mark.parametrize(("name", "example"), EXAMPLES, ids=[name for name, _ in EXAMPLES])
+def test_example_has_every_field_and_no_other(name, example):
+    decoded = msgspec.json.decode(example, type=_type_of(name))
+    if isinstance(decoded, list):
+        (decoded,) = decoded
+    shown = msgspec.json.decode(example)
+    shown = shown[0] if isinstance(shown, list) else shown
+    assert set(shown) == set(decoded.__struct_fields__)
+
+
+def test_configuration_example_is_valid():
+    (example,) = [example for name, example in EXAMPLES if name == "Document"]
+    assert isinstance(decode_document(example.encode()), Document)
+
+
+def test_error_table_is_that_of_the_code():
+    rows = {
+        ErrorKind(kind): (int(status), resent == "yes", not_run == "yes")
+        for kind, status, resent, not_run in ERROR_ROW.findall(PAGE)
+    }
+    assert rows == {
+        kind: (answer.http_status, answer.may_resend, answer.not_run)
+        for kind, answer in ANSWERS.items()
+    }
