--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -21,6 +21,7 @@
     from fighinge.entry.query_plan import PlannedGroup, QueryPlan
     from fighinge.entry.response_times import ResponseTimes
     from fighinge.messages import GroupOutcome, Search
+    from fighinge.model import Snapshot
 
 REPLACED_KINDS = frozenset(
     {ErrorKind.NOT_OWNER, ErrorKind.STOPPING, ErrorKind.NOT_READY, ErrorKind.ZONE_OUT}
@@ -71,8 +72,8 @@
     """Collects the parts of one query until all groups answered or time is up.
 
     ``sent`` stays false only while it is certain that no backend server was sent the request.
-    ``replaceable`` tells that the query may be planned again, so that a run whose snapshot
-    vanishes ends at once.
+    Once many shards are no longer served at the snapshot, ``find_replacement`` is asked for
+    another one; with a ``replacement`` the run ends at once.
     """
 
     __slots__ = (
@@ -87,7 +88,8 @@
         "_silence_s",
         "_terms",
         "collector",
-        "replaceable",
+        "find_replacement",
+        "replacement",
         "retry_after_s",
         "sent",
         "snapshot",
@@ -108,7 +110,8 @@
         self.traces: list[GroupTrace] = []
         self.sent = False
         self.retry_after_s = 0.0
-        self.replaceable = False
+        self.find_replacement: Callable[[QueryRun], Snapshot | None] | None = None
+        self.replacement: Snapshot | None = None
         self._terms = terms
         self._plan = plan
         self._context = context
@@ -261,8 +264,11 @@
         if len(outcome.parts) < len(shards):
             answered = {part.shard for part in outcome.parts}
             self.collector.add_unanswered(shard for shard in shards if shard not in answered)
-        if self.replaceable and outcome.missing and self.vanished:
-            self._done.set()
+        if self.find_replacement and self.vanished:
+            find, self.find_replacement = self.find_replacement, None
+            self.replacement = find(self)
+            if self.replacement is not None:
+                self._done.set()
 
     def _is_asked_elsewhere(self, group: str) -> bool:
         """Return whether another aggregator may still answer for a group."""
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -160,10 +160,15 @@
         snapshot = self._snapshot(query)
         if isinstance(snapshot, Failure):
             return query_error(request_id, snapshot)
-        run = await self._run(query, snapshot, may_repeat=query.cursor is None)
-        again = self._newer_snapshot(query, run)
-        if again is not None:
-            earlier, run = run, await self._run(query, again, may_repeat=False)
+        run = self._plan_run(query, snapshot)
+        if request.repeatable and query.cursor is None:
+            run.find_replacement = lambda run: self._other_snapshot(query, run)
+        await run.run()
+        if not (request.repeatable or query.cursor or run.sent) and run.vanished:
+            run.replacement = self._other_snapshot(query, run)
+        if run.replacement is not None:
+            earlier, run = run, self._plan_run(query, run.replacement)
+            await run.run()
             run.sent = run.sent or earlier.sent
             run.traces[:0] = earlier.traces
         labels = QueryLabels(query.service.tenant, query.service.query_class)
@@ -204,7 +209,8 @@
             self._planner.follow(self._fleet.aggregators())
             self._follow_again_s = now_s + FOLLOW_INTERVAL_S
 
-    async def _run(self, query: Query, snapshot: Snapshot, *, may_repeat: bool) -> QueryRun:
+    def _plan_run(self, query: Query, snapshot: Snapshot) -> QueryRun:
+        """Return the run of a query on a snapshot, not yet started."""
         service, request = query.service, query.request
         search = query.search()
         terms = QueryTerms(
@@ -228,17 +234,10 @@
             self._budget(service.query_class, len(plan.groups)),
         )
         rule = EarlyAnswerRule.from_service(service, query.started_s, query.deadline_s)
-        run = QueryRun(terms, plan, context, query.deadline_s, rule)
-        run.replaceable = may_repeat and request.repeatable
-        await run.run()
-        return run
+        return QueryRun(terms, plan, context, query.deadline_s, rule)
 
-    def _newer_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
+    def _other_snapshot(self, query: Query, run: QueryRun) -> Snapshot | None:
         """Return the snapshot to plan a query on again, if it may be and that promises more."""
-        if query.cursor is not None or not run.vanished:
-            return None
-        if run.sent and not query.request.repeatable:
-            return None
         now_s = self._clock()
         name = query.service.collection
         collection = self._document.collections.get(name)
@@ -248,8 +247,9 @@
         other = self.snapshots.choose_other(name, collection, self._planner, tried, now_s)
         if other is None:
             return None
+        is_newer = other.index_version > run.snapshot.index_version
         served = self.snapshots.served_share(name, other, self._planner, now_s)
-        if served <= run.collector.share:
+        if not is_newer and served <= run.collector.share:
             return None
         plan = self._planner.plan(name, other)
         if not self._budget(query.service.query_class, 0).spend(len(plan.groups)):
--- a/tests/histories/processes.py
+++ b/tests/histories/processes.py
@@ -135,6 +135,7 @@
         self.membership.leave()
         await asyncio.sleep(KEEP_S)
         await self.awake.wait()
+        await asyncio.sleep(LINK_LATENCY_S)
 
     def end(self, *, planned: bool) -> None:
         """End, after a planned stop or without a word."""
--- /dev/null
+++ b/tests/test_broken_variants.py
@@ -0,0 +1,130 @@
+"""Each promise, broken on purpose in the real code, is caught in a history that it ran."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from fighinge.aggregator.backend_server import BackendServer
+from fighinge.configuration.store import ConfigurationStore
+from fighinge.entry import query_service, refusals
+from fighinge.entry.merge import PartCollector
+from fighinge.entry.query_run import QueryRun
+from fighinge.running import RunningWork
+from tests.histories.faults import Fault, FaultKind
+from tests.histories.schedules import Schedule, violations
+
+
+def _mix_snapshots(monkeypatch):
+    add_part = PartCollector.add_part
+
+    def add_any_part(self, part):
+        part.index_version = self._snapshot.index_version
+        return add_part(self, part)
+
+    monkeypatch.setattr(PartCollector, "add_part", add_any_part)
+
+
+def _claim_all(monkeypatch):
+    coverage = PartCollector.coverage
+
+    def claimed(self):
+        answer = coverage(self)
+        answer.included, answer.missing = sorted(self._snapshot.shards), []
+        answer.share = 1.0
+        return answer
+
+    monkeypatch.setattr(PartCollector, "coverage", claimed)
+
+
+def _trust_cold_servers(monkeypatch):
+    monkeypatch.setattr(BackendServer, "allowance", lambda server: server.slots)
+    monkeypatch.setattr(BackendServer, "_refused", lambda *_arguments: None)
+
+
+def _ignore_zones(monkeypatch):
+    for module in ("fighinge.aggregator.service", "fighinge.ownership", "fighinge.admission"):
+        monkeypatch.setattr(f"{module}.zone_in_service", lambda *_arguments: True)
+
+
+def _drop_a_record(monkeypatch):
+    merge = PartCollector.merge
+
+    def shorter(self):
+        merged = merge(self)
+        del merged.records[1:2]
+        return merged
+
+    monkeypatch.setattr(PartCollector, "merge", shorter)
+
+
+def _always_not_run(monkeypatch):
+    run_error = refusals.run_error
+
+    def claimed(*arguments, **options):
+        return msgspec.structs.replace(run_error(*arguments, **options), not_run=True)
+
+    monkeypatch.setattr(query_service, "run_error", claimed)
+
+
+def _run_twice(monkeypatch):
+    send_planned = QueryRun._send_planned
+
+    def send_twice(self):
+        send_planned(self)
+        send_planned(self)
+
+    monkeypatch.setattr(QueryRun, "_send_planned", send_twice)
+
+
+def _ignore_drains(monkeypatch):
+    monkeypatch.setattr(BackendServer, "_drain", lambda *_arguments: None)
+
+
+def _stop_at_once(monkeypatch):
+    async def not_waiting(_self, _limit_s):
+        return True
+
+    monkeypatch.setattr(RunningWork, "finished", not_waiting)
+
+
+def _revert(monkeypatch):
+    put_in_force = ConfigurationStore._put_in_force
+
+    def put_in_force_and_revert(self, accepted, cause):
+        before = self.accepted
+        put_in_force(self, accepted, cause)
+        if before is not None:
+            put_in_force(self, before, "reverted")
+
+    monkeypatch.setattr(ConfigurationStore, "_put_in_force", put_in_force_and_revert)
+
+
+def _faults(kind, *targets, at_s=1.0, duration_s=3.0):
+    return tuple(Fault(kind, at_s, duration_s, target) for target in targets)
+
+
+@pytest.mark.parametrize(
+    ("promise", "break_promise", "faults"),
+    [
+        ("one snapshot", _mix_snapshots, _faults(FaultKind.WRONG_VERSION, 3, 4, 5)),
+        ("true coverage", _claim_all, _faults(FaultKind.LOST_REPLICA, 0, 1, 2)),
+        ("cold start", _trust_cold_servers, _faults(FaultKind.COLD_START, 0, 1, 2)),
+        ("data centre out", _ignore_zones, _faults(FaultKind.ZONE_OUT, 0)),
+        ("whole answers", _drop_a_record, ()),
+        ("not run", _always_not_run, _faults(FaultKind.CRASHING_REQUEST, 0)),
+        ("at most once", _run_twice, ()),
+        ("leaving servers", _ignore_drains, _faults(FaultKind.SERVER_LEAVES, 0)),
+        (
+            "planned stop",
+            _stop_at_once,
+            (*_faults(FaultKind.STRAGGLER, 0, 1, 2, 3, 4, 5), *_faults(FaultKind.PLANNED_STOP, 0)),
+        ),
+        ("configuration", _revert, _faults(FaultKind.ZONE_OUT, 0)),
+    ],
+)
+def test_broken_variant_is_caught(monkeypatch, promise, break_promise, faults):
+    schedule = Schedule(1, faults)
+    assert violations(schedule) == []
+    break_promise(monkeypatch)
+    assert promise in {violation.promise for violation in violations(schedule)}
