Run histories without idle rounds of the virtual clock

A schedule of the same 421 events took 0.32 s with two idle rounds, 0.25 s with one and 0.24 s with none (best of two each); nothing in them waits for real input.

--- a/tests/histories/schedules.py
+++ b/tests/histories/schedules.py
@@ -57,7 +57,7 @@
 def run(schedule: Schedule) -> History:
     """Run a schedule in virtual time and return its history."""
     with logbook.NullHandler():
-        return virtual_time.run(_run(schedule))
+        return virtual_time.run(_run(schedule), idle_cycles=0)
 
 
 def violations(schedule: Schedule) -> list[Violation]:
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -13,12 +13,14 @@
 IDLE_CYCLES = 2
 
 
-def run(work: Coroutine):
+def run(work: Coroutine, idle_cycles: int = IDLE_CYCLES):
     """Run a coroutine to its end; every wait takes no real time.
 
     The caller's timeouts, sleeps and ``loop.time()`` all follow the virtual clock.
+
+    :param idle_cycles: rounds of the loop without anything to do before the clock moves on
     """
-    loop = looptime.new_event_loop(start=1000.0, end=100_000.0, noop_cycles=IDLE_CYCLES)
+    loop = looptime.new_event_loop(start=1000.0, end=100_000.0, noop_cycles=idle_cycles)
     try:
         asyncio.set_event_loop(loop)
         return loop.run_until_complete(work)
