--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -27,6 +27,7 @@
     {ErrorKind.NOT_OWNER, ErrorKind.STOPPING, ErrorKind.NOT_READY, ErrorKind.ZONE_OUT}
 )
 VANISHED_KINDS = frozenset({ErrorKind.SNAPSHOT_GONE, ErrorKind.NO_REPLICA})
+DROPPED_KINDS = frozenset({ErrorKind.SNAPSHOT_GONE})
 VANISHED_SHARE = 0.1
 SILENCE_SHARE = 0.3
 SILENCE_FACTOR = 4.0
@@ -87,6 +88,7 @@
         "_rule",
         "_silence_s",
         "_terms",
+        "_vanished_share",
         "collector",
         "find_replacement",
         "replacement",
@@ -118,6 +120,7 @@
         self._deadline_s = deadline_s
         self._rule = rule
         self._silence_s = 0.0
+        self._vanished_share = 0.0
         self._pending = dict.fromkeys(plan.groups, 0.0)
         self._next_owner: dict[str, int] = {}
         self._calls: dict[int, _Call] = {}
@@ -126,9 +129,19 @@
     @property
     def vanished(self) -> bool:
         """Return whether many shards are no longer served at the snapshot."""
-        return self.collector.missing_of(VANISHED_KINDS) >= VANISHED_SHARE * len(
-            self.snapshot.shards
-        )
+        return 1 - self.reachable_share >= VANISHED_SHARE
+
+    @property
+    def dropped(self) -> bool:
+        """Return whether backend servers no longer hold the snapshot of many shards."""
+        count = len(self.snapshot.shards)
+        return self.collector.missing_of(DROPPED_KINDS) >= VANISHED_SHARE * count
+
+    @property
+    def reachable_share(self) -> float:
+        """Return the share of the shards that may still be served at the snapshot."""
+        vanished = self.collector.missing_of(VANISHED_KINDS)
+        return 1 - vanished / len(self.snapshot.shards)
 
     async def run(self) -> None:
         """Send everything and wait for all groups, the early answer or the deadline."""
@@ -264,11 +277,18 @@
         if len(outcome.parts) < len(shards):
             answered = {part.shard for part in outcome.parts}
             self.collector.add_unanswered(shard for shard in shards if shard not in answered)
-        if self.find_replacement and self.vanished:
-            find, self.find_replacement = self.find_replacement, None
-            self.replacement = find(self)
-            if self.replacement is not None:
-                self._done.set()
+        if self.find_replacement is not None:
+            self._look_for_replacement()
+
+    def _look_for_replacement(self) -> None:
+        """Look for another snapshot each time that a further share of the shards vanished."""
+        vanished_share = 1 - self.reachable_share
+        if vanished_share < self._vanished_share + VANISHED_SHARE:
+            return
+        self._vanished_share = vanished_share
+        self.replacement = self.find_replacement(self)
+        if self.replacement is not None:
+            self._done.set()
 
     def _is_asked_elsewhere(self, group: str) -> bool:
         """Return whether another aggregator may still answer for a group."""
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -247,9 +247,9 @@
         other = self.snapshots.choose_other(name, collection, self._planner, tried, now_s)
         if other is None:
             return None
-        is_newer = other.index_version > run.snapshot.index_version
+        is_successor = run.dropped and other.index_version > run.snapshot.index_version
         served = self.snapshots.served_share(name, other, self._planner, now_s)
-        if not is_newer and served <= run.collector.share:
+        if served <= run.reachable_share and not is_successor:
             return None
         plan = self._planner.plan(name, other)
         if not self._budget(query.service.query_class, 0).spend(len(plan.groups)):
