--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -25,8 +25,8 @@
 slots, connection limits, connection times and one-way latencies are theirs; the numbers of hosts
 and backend servers are scaled to one machine, as the fleet column says. The way to a backend
 server is its mean over data centres, since a stand-in cannot tell its callers apart; the ways
-between processes are those of loopback. `plain` has neither hedges nor adaptive limits, `fighinge`
-is as shipped, `floor` is `fighinge` without the fault.
+between processes are those of loopback. `plain` has no hedges, cold starts or early refusal,
+`fighinge` is as shipped, `floor` is `fighinge` without the fault.
 """
 
 
