Count a group that was given up on as unknown, not as never answering

Cause: an early answer gives the missing groups up, and the estimator took the time waited as a latency. After some early answers nothing seemed to take longer, so a coverage-first service answered early whatever was missing. Change: samples say whether they were answered; one that was given up on before the horizon tells nothing. Without knowledge latency-first answers at the soft deadline and coverage-first waits.

--- a/fighinge/entry/coverage.py
+++ b/fighinge/entry/coverage.py
@@ -24,13 +24,15 @@
 
     From the soft deadline on it waits only while some missing group has at least
     ``least_chance`` to answer within the horizon: a short further time where latency comes
-    first, the time up to the deadline where coverage does.
+    first, the time up to the deadline where coverage does. Where nothing is known of that, it
+    counts as unlikely in the first case and as certain in the second.
     """
 
     soft_deadline_s: float
     deadline_s: float
     patience_s: float | None
     least_chance: float
+    unknown_chance: float
     minimum_coverage: float
     recheck_s: float
 
@@ -51,6 +53,7 @@
             least_chance=(
                 LATENCY_FIRST_LEAST_CHANCE if latency_first else COVERAGE_FIRST_LEAST_CHANCE
             ),
+            unknown_chance=0.0 if latency_first else 1.0,
             minimum_coverage=service.minimum_coverage,
             recheck_s=RECHECK_SHARE * service.soft_deadline_s,
         )
--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -166,7 +166,7 @@
             self._context.links.link(call.aggregator).cancel(call.number)
         self._calls.clear()
         for group, sent_s in self._pending.items():
-            self._context.times.observe(group, now_s - sent_s)
+            self._context.times.observe(group, now_s - sent_s, answered=False)
 
     def outcome_of(self, call: _Call, shards: tuple[str, ...], outcome: GroupOutcome) -> None:
         """Take one group's outcome, asked for some shards."""
@@ -185,7 +185,8 @@
         self._collect(shards, outcome)
         if not outcome.parts and self._is_asked_elsewhere(outcome.group):
             return
-        self._context.times.observe(outcome.group, now_s - self._pending[outcome.group])
+        took_s = now_s - self._pending[outcome.group]
+        self._context.times.observe(outcome.group, took_s, answered=True)
         self._finish(outcome.group)
 
     def lost(self, call: _Call, *, sent: bool) -> None:
@@ -245,7 +246,7 @@
             return False
         horizon_s = rule.horizon_s(now_s)
         best_chance = max(
-            self._context.times.chance(group, now_s - sent_s, horizon_s)
+            self._context.times.chance(group, now_s - sent_s, horizon_s, rule.unknown_chance)
             for group, sent_s in self._pending.items()
         )
         return rule.allows(self.collector.share, best_chance, now_s)
--- a/fighinge/entry/response_times.py
+++ b/fighinge/entry/response_times.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 SAMPLES_PER_GROUP = 32
 SAMPLES_OF_ALL = 512
@@ -10,28 +14,37 @@
 QUANTILE_REFRESH_SAMPLES = 64
 
 
+class Sample(NamedTuple):
+    """A latency, or how long a group was waited for that did not answer."""
+
+    took_s: float
+    answered: bool
+
+
 class ResponseTimes:
     """Latencies of the groups that an entry asked lately.
 
-    A group that was given up on counts with the time that was waited for it.
+    A group that was given up on counts with the time that was waited for it, which says
+    nothing of what would have come later.
     """
 
     __slots__ = ("_all", "_by_group", "_heard_s", "_quantile_s", "_since_quantile")
 
     def __init__(self) -> None:
-        self._all: deque[float] = deque(maxlen=SAMPLES_OF_ALL)
-        self._by_group: dict[str, deque[float]] = {}
+        self._all: deque[Sample] = deque(maxlen=SAMPLES_OF_ALL)
+        self._by_group: dict[str, deque[Sample]] = {}
         self._heard_s: dict[str, float] = {}
         self._quantile_s = 0.0
         self._since_quantile = 0
 
-    def observe(self, group: str, took_s: float) -> None:
-        """Take a latency."""
+    def observe(self, group: str, took_s: float, *, answered: bool) -> None:
+        """Take a latency, or the time after which a group was given up on."""
         samples = self._by_group.get(group)
         if samples is None:
             samples = self._by_group[group] = deque(maxlen=SAMPLES_PER_GROUP)
-        samples.append(took_s)
-        self._all.append(took_s)
+        sample = Sample(took_s, answered)
+        samples.append(sample)
+        self._all.append(sample)
         self._since_quantile += 1
 
     def heard_from(self, aggregator: str, now_s: float) -> None:
@@ -42,25 +55,37 @@
         """Return whether an aggregator answered nothing after a time."""
         return self._heard_s.get(aggregator, -1.0) < since_s
 
-    def chance(self, group: str, waited_s: float, further_s: float) -> float:
+    def chance(self, group: str, waited_s: float, further_s: float, unknown: float) -> float:
         """Return how likely a group is to answer within a further time.
 
-        The share is of those latencies that were longer than what has been waited already,
-        the group's own ones or, where these are too few, all groups'; 0 without any.
+        Of the samples that lasted longer than what has been waited already, the share that was
+        answered within that time counts: the group's own ones or, where these are too few, all
+        groups'.
+
+        :param unknown: what is returned where those are too few as well
         """
-        own = self._by_group.get(group, ())
-        longer = [took_s for took_s in own if took_s > waited_s]
-        if len(longer) < LEAST_SAMPLES:
-            longer = [took_s for took_s in self._all if took_s > waited_s]
-        if not longer:
-            return 0.0
-        in_time = sum(took_s <= waited_s + further_s for took_s in longer)
-        return in_time / len(longer)
+        for samples in (self._by_group.get(group, ()), self._all):
+            known = _outcomes(samples, waited_s, waited_s + further_s)
+            if len(known) >= LEAST_SAMPLES:
+                return sum(known) / len(known)
+        return unknown
 
     def slow_s(self) -> float:
         """Return the latency that 95 of 100 answers stay within, 0 without samples."""
         if self._since_quantile >= QUANTILE_REFRESH_SAMPLES or not self._quantile_s:
-            ordered = sorted(self._all)
+            ordered = sorted(sample.took_s for sample in self._all)
             self._quantile_s = ordered[int(0.95 * (len(ordered) - 1))] if ordered else 0.0
             self._since_quantile = 0
         return self._quantile_s
+
+
+def _outcomes(samples: Iterable[Sample], waited_s: float, until_s: float) -> list[bool]:
+    """Return for each sample longer than ``waited_s`` whether it was answered by ``until_s``.
+
+    A group that was given up on before then tells neither.
+    """
+    return [
+        sample.answered and sample.took_s <= until_s
+        for sample in samples
+        if sample.took_s > waited_s and (sample.answered or sample.took_s >= until_s)
+    ]
--- a/tests/features/steps/early_answer_steps.py
+++ b/tests/features/steps/early_answer_steps.py
@@ -26,13 +26,22 @@
 def past(context, times):
     context.times = ResponseTimes()
     for took_ms in times.split(","):
-        context.times.observe("g", int(took_ms) / 1000)
+        context.times.observe("g", int(took_ms) / 1000, answered=True)
+
+
+@given("past waits of {times} ms without an answer")
+def past_waits(context, times):
+    context.times = ResponseTimes()
+    for waited_ms in times.split(","):
+        context.times.observe("g", int(waited_ms) / 1000, answered=False)
 
 
 @when("{share:g} of the shards is included after {now:d} ms")
 def look(context, share, now):
     now_s = now / 1000
-    chance = context.times.chance("g", now_s, context.rule.horizon_s(now_s))
+    chance = context.times.chance(
+        "g", now_s, context.rule.horizon_s(now_s), context.rule.unknown_chance
+    )
     context.early = context.rule.allows(share, chance, now_s)
 
 
