--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -5,9 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from fighinge.entry.merge import PartCollector
+from fighinge.entry.sub_query_call import SubQueryCall
 from fighinge.errors import ErrorKind
 from fighinge.messages import GroupShards, SubQuery, failed_group
 from fighinge.queries import GroupTrace
@@ -15,12 +14,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from fighinge.entry.base import AggregatorLinks
     from fighinge.entry.coverage import EarlyAnswerRule
-    from fighinge.entry.extra_load import ExtraLoadBudget
     from fighinge.entry.query_plan import PlannedGroup, QueryPlan
-    from fighinge.entry.response_times import ResponseTimes
-    from fighinge.messages import GroupOutcome, Search
+    from fighinge.entry.query_terms import QueryTerms, RunContext
+    from fighinge.messages import GroupOutcome
     from fighinge.model import Snapshot
 
 REPLACED_KINDS = frozenset(
@@ -35,40 +32,6 @@
 LEAST_WAIT_S = 0.0001
 
 
-class QueryTerms(msgspec.Struct, frozen=True, kw_only=True):
-    """What all sub-queries of one query have in common."""
-
-    request_id: str
-    service: str
-    collection: str
-    query_class: str
-    tenant: str
-    search: Search
-    repeatable: bool
-    fingerprint: str
-    configuration_version: int
-
-
-class RunContext:
-    """What the runs of one entry share."""
-
-    __slots__ = ("budget", "clock", "links", "next_call", "times")
-
-    def __init__(
-        self,
-        links: AggregatorLinks,
-        next_call: Callable[[], int],
-        clock: Callable[[], float],
-        times: ResponseTimes,
-        budget: ExtraLoadBudget,
-    ) -> None:
-        self.links = links
-        self.next_call = next_call
-        self.clock = clock
-        self.times = times
-        self.budget = budget
-
-
 class QueryRun:
     """Collects the parts of one query until all groups answered or time is up.
 
@@ -123,13 +86,13 @@
         self._vanished_share = 0.0
         self._pending = dict.fromkeys(plan.groups, 0.0)
         self._next_owner: dict[str, int] = {}
-        self._calls: dict[int, _Call] = {}
+        self._calls: dict[int, SubQueryCall] = {}
         self._done = asyncio.Event()
 
     @property
     def vanished(self) -> bool:
         """Return whether many shards are no longer served at the snapshot."""
-        return 1 - self.reachable_share >= VANISHED_SHARE
+        return self.vanished_share >= VANISHED_SHARE
 
     @property
     def dropped(self) -> bool:
@@ -140,8 +103,12 @@
     @property
     def reachable_share(self) -> float:
         """Return the share of the shards that may still be served at the snapshot."""
-        vanished = self.collector.missing_of(VANISHED_KINDS)
-        return 1 - vanished / len(self.snapshot.shards)
+        return 1 - self.vanished_share
+
+    @property
+    def vanished_share(self) -> float:
+        """Return the share of the shards that no replica serves at the snapshot."""
+        return self.collector.missing_of(VANISHED_KINDS) / len(self.snapshot.shards)
 
     async def run(self) -> None:
         """Send everything and wait for all groups, the early answer or the deadline."""
@@ -168,7 +135,9 @@
         for group, sent_s in self._pending.items():
             self._context.times.observe(group, now_s - sent_s, answered=False)
 
-    def outcome_of(self, call: _Call, shards: tuple[str, ...], outcome: GroupOutcome) -> None:
+    def outcome_of(
+        self, call: SubQueryCall, shards: tuple[str, ...], outcome: GroupOutcome
+    ) -> None:
         """Take one group's outcome, asked for some shards."""
         now_s = self._context.clock()
         self._context.times.heard_from(call.aggregator, now_s)
@@ -189,7 +158,7 @@
         self._context.times.observe(outcome.group, took_s, answered=True)
         self._finish(outcome.group)
 
-    def lost(self, call: _Call, *, sent: bool) -> None:
+    def lost(self, call: SubQueryCall, *, sent: bool) -> None:
         """Ask the next aggregator for the groups that a lost one has not answered for."""
         self._calls.pop(call.number, None)
         self.sent = self.sent or sent
@@ -251,7 +220,7 @@
         )
         return rule.allows(self.collector.share, best_chance, now_s)
 
-    def _replace_silent(self, call: _Call) -> None:
+    def _replace_silent(self, call: SubQueryCall) -> None:
         """Ask the next owners where an aggregator has answered nothing since it was asked."""
         if not self._context.times.silent_since(call.aggregator, call.sent_s):
             return
@@ -283,7 +252,7 @@
 
     def _look_for_replacement(self) -> None:
         """Look for another snapshot each time that a further share of the shards vanished."""
-        vanished_share = 1 - self.reachable_share
+        vanished_share = self.vanished_share
         if vanished_share < self._vanished_share + VANISHED_SHARE:
             return
         self._vanished_share = vanished_share
@@ -337,7 +306,7 @@
             configuration_version=terms.configuration_version,
             takeover=takeover,
         )
-        call = _Call(self, number, owner, groups, now_s, takeover=takeover)
+        call = SubQueryCall(self, number, owner, groups, now_s, takeover=takeover)
         self._calls[number] = call
         self._context.links.link(owner).send(sub_query, call)
 
@@ -352,54 +321,3 @@
         self._pending.pop(group, None)
         if not self._pending:
             self._done.set()
-
-
-class _Call:
-    """One sub-query of a run; hears each of its groups once, whatever arrives.
-
-    ``left`` holds the groups without an outcome; ``checked`` tells that the owner was found
-    silent or not, ``replaced`` that another one was asked meanwhile.
-    """
-
-    __slots__ = (
-        "_run",
-        "aggregator",
-        "checked",
-        "left",
-        "number",
-        "replaced",
-        "sent_s",
-        "takeover",
-    )
-
-    def __init__(
-        self,
-        run: QueryRun,
-        number: int,
-        aggregator: str,
-        groups: tuple[GroupShards, ...],
-        sent_s: float,
-        *,
-        takeover: bool,
-    ) -> None:
-        self._run = run
-        self.number = number
-        self.aggregator = aggregator
-        self.left = {wanted.group: wanted.shards for wanted in groups}
-        self.sent_s = sent_s
-        self.takeover = takeover
-        self.checked = False
-        self.replaced = False
-
-    def outcome(self, outcome: GroupOutcome) -> None:
-        """Hand an outcome on, unless it is repeated or of a group that was not asked for."""
-        shards = self.left.pop(outcome.group, None)
-        if shards is None:
-            return
-        if not self.left:
-            self._run.call_ended(self.number)
-        self._run.outcome_of(self, shards, outcome)
-
-    def link_lost(self, _aggregator: str, *, sent: bool) -> None:
-        """Hand a loss on."""
-        self._run.lost(self, sent=sent)
--- a/fighinge/entry/query_service.py
+++ b/fighinge/entry/query_service.py
@@ -15,7 +15,8 @@
 from fighinge.entry.cursors import Cursor, decode_cursor, encode_cursor, search_name
 from fighinge.entry.extra_load import ExtraLoadBudget
 from fighinge.entry.query_plan import Planner
-from fighinge.entry.query_run import QueryRun, QueryTerms, RunContext
+from fighinge.entry.query_run import QueryRun
+from fighinge.entry.query_terms import QueryTerms, RunContext
 from fighinge.entry.refusals import query_error, run_error
 from fighinge.entry.response_times import ResponseTimes
 from fighinge.errors import ErrorKind, Failure
--- /dev/null
+++ b/fighinge/entry/query_terms.py
@@ -0,0 +1,50 @@
+"""What the sub-queries of a query, and the runs of an entry, have in common."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fighinge.messages import Search
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fighinge.entry.base import AggregatorLinks
+    from fighinge.entry.extra_load import ExtraLoadBudget
+    from fighinge.entry.response_times import ResponseTimes
+
+
+class QueryTerms(msgspec.Struct, frozen=True, kw_only=True):
+    """What all sub-queries of one query have in common."""
+
+    request_id: str
+    service: str
+    collection: str
+    query_class: str
+    tenant: str
+    search: Search
+    repeatable: bool
+    fingerprint: str
+    configuration_version: int
+
+
+class RunContext:
+    """What the runs of one entry share."""
+
+    __slots__ = ("budget", "clock", "links", "next_call", "times")
+
+    def __init__(
+        self,
+        links: AggregatorLinks,
+        next_call: Callable[[], int],
+        clock: Callable[[], float],
+        times: ResponseTimes,
+        budget: ExtraLoadBudget,
+    ) -> None:
+        self.links = links
+        self.next_call = next_call
+        self.clock = clock
+        self.times = times
+        self.budget = budget
--- a/tests/run_builders.py
+++ b/tests/run_builders.py
@@ -7,7 +7,8 @@
 
 from fighinge.entry.extra_load import ExtraLoadBudget
 from fighinge.entry.query_plan import Planner
-from fighinge.entry.query_run import QueryRun, QueryTerms, RunContext
+from fighinge.entry.query_run import QueryRun
+from fighinge.entry.query_terms import QueryTerms, RunContext
 from fighinge.entry.response_times import ResponseTimes
 from fighinge.errors import ErrorKind
 from fighinge.messages import GroupOutcome, Record, Search, ShardMissing, ShardPart
