Tell members when an entry is overloaded

Nothing set the mark that leaves an entry out of callers' answers. An entry now judges by how late the ticks of its event loop come: a mean of 0.1 s over 20 ticks sets it, 0.02 s takes it back. Unit tables fix which claim about a member holds and how long a suspect may refute.

--- a/fighinge/pauses.py
+++ b/fighinge/pauses.py
@@ -35,11 +35,17 @@
         """Call a listener with the present time after each pause."""
         self._listeners.append(listener)
 
-    async def run(self) -> None:
-        """Tick for as long as the task runs."""
+    async def run(self, ticked: Callable[[float], None]) -> None:
+        """Tick for as long as the task runs.
+
+        :param ticked: called with how late each tick was, in seconds
+        """
         while True:
-            self.observe(self._clock())
+            due_s = self._clock() + TICK_S
             await asyncio.sleep(TICK_S)
+            now_s = self._clock()
+            self.observe(now_s)
+            ticked(max(0.0, now_s - due_s))
 
     def observe(self, now_s: float) -> None:
         """Note that the process runs, and tell the listeners if it had not for long."""
--- a/fighinge/process.py
+++ b/fighinge/process.py
@@ -24,6 +24,7 @@
 from fighinge.membership.service import Membership
 from fighinge.membership.transport import UdpTransport
 from fighinge.membership.zone_return import ZoneReturns
+from fighinge.overload import OverloadSignal
 from fighinge.pauses import PauseWatch
 from fighinge.settings import Settings, read_settings
 from fighinge.status import StatusSource, create_status_server
@@ -42,6 +43,7 @@
     """The parts that every role has: configuration, membership and background tasks."""
 
     __slots__ = (
+        "_overload",
         "_random",
         "_tasks",
         "admission",
@@ -62,6 +64,7 @@
         clock = asyncio.get_running_loop().time
         self._random = random.Random()
         self._tasks: set[asyncio.Task] = set()
+        self._overload = OverloadSignal()
         self.failed = False
         self.settings = settings
         self.stop_request = StopRequest.from_signals()
@@ -99,7 +102,7 @@
         watcher = ConfigurationWatcher(
             self.platform, self.store, self.membership, clock, self._random
         )
-        self.spawn(self.pauses.run())
+        self.spawn(self.pauses.run(self._ticked))
         self.spawn(self.membership.run())
         self.spawn(watcher.run())
         self.spawn(
@@ -133,6 +136,11 @@
         if self.failed:
             sys.exit(EXIT_FAILED)
 
+    def _ticked(self, lag_s: float) -> None:
+        if self._overload.observe(lag_s):
+            logger.notice("overloaded: {}", self._overload.overloaded)
+            self.membership.table.change_me(overloaded=self._overload.overloaded)
+
     def _ended(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
--- /dev/null
+++ b/tests/test_member_table.py
@@ -0,0 +1,105 @@
+"""Tests of which claim about a member holds, and when a suspect counts as dead."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from fighinge.membership.member import Member, MemberState, Role
+from fighinge.membership.table import (
+    KEEP_DEAD_S,
+    SUSPICION_MAX_S,
+    SUSPICION_MIN_S,
+    MemberTable,
+    Suspicion,
+)
+from fighinge.overload import WINDOW_TICKS, OverloadSignal
+
+ME = Member(Role.ENTRY, "10.0.0.1", "z1", 10)
+OTHER = Member(Role.ENTRY, "10.0.0.2", "z1", 10)
+
+
+def _claim(member=OTHER, incarnation=10, state="ALIVE", accuser="") -> Member:
+    return msgspec.structs.replace(
+        member, incarnation=incarnation, state=MemberState[state], accuser=accuser
+    )
+
+
+@pytest.mark.parametrize(
+    ("held", "claimed", "holds"),
+    [
+        ((10, "ALIVE"), (10, "SUSPECT"), (10, "SUSPECT")),
+        ((10, "ALIVE"), (9, "DEAD"), (10, "ALIVE")),
+        ((10, "SUSPECT"), (10, "ALIVE"), (10, "SUSPECT")),
+        ((10, "SUSPECT"), (11, "ALIVE"), (11, "ALIVE")),
+        ((10, "DEAD"), (10, "SUSPECT"), (10, "DEAD")),
+        ((10, "DEAD"), (10, "ALIVE"), (10, "DEAD")),
+        ((10, "DEAD"), (11, "ALIVE"), (11, "ALIVE")),
+        ((10, "DEAD"), (11, "SUSPECT"), (11, "SUSPECT")),
+    ],
+)
+def test_claim_that_holds(held, claimed, holds):
+    table = MemberTable(ME)
+    table.apply(_claim(), 0.0, "test")
+    table.apply(_claim(OTHER, *held), 0.0, "test")
+    table.apply(_claim(OTHER, *claimed), 0.0, "test")
+    member = table.get(OTHER.name)
+    assert (member.incarnation, member.state.name) == holds
+
+
+@pytest.mark.parametrize(
+    ("claimed", "incarnation"),
+    [
+        ((10, "ALIVE"), 10),
+        ((9, "DEAD"), 10),
+        ((10, "SUSPECT"), 11),
+        ((10, "DEAD"), 11),
+        ((70, "ALIVE"), 71),
+    ],
+)
+def test_process_refutes_what_is_claimed_of_it(claimed, incarnation):
+    table = MemberTable(ME)
+    table.apply(_claim(ME, *claimed), 0.0, "test")
+    assert (table.me.incarnation, table.me.state) == (incarnation, MemberState.ALIVE)
+
+
+@pytest.mark.parametrize(
+    ("accusers", "members", "timeout_s"),
+    [
+        (1, 10, SUSPICION_MAX_S),
+        (2, 10, 4.0),
+        (4, 10, SUSPICION_MIN_S),
+        (1, 3, SUSPICION_MAX_S),
+        (2, 3, SUSPICION_MIN_S),
+        (1, 2, SUSPICION_MIN_S),
+    ],
+)
+def test_time_to_refute(accusers, members, timeout_s):
+    suspicion = Suspicion(0.0, "a0")
+    suspicion.accusers |= {f"a{number}" for number in range(accusers)}
+    assert suspicion.timeout_s(members) == pytest.approx(timeout_s)
+
+
+def test_suspect_dies_and_is_forgotten_in_time():
+    table = MemberTable(ME)
+    table.apply(_claim(), 0.0, "test")
+    table.apply(_claim(state="SUSPECT", accuser="a"), 1.0, "test")
+    table.expire(1.0 + SUSPICION_MIN_S - 0.1)
+    assert table.get(OTHER.name).state is MemberState.SUSPECT
+    table.extend_suspicions(2.0)
+    table.expire(1.0 + SUSPICION_MIN_S)
+    assert table.get(OTHER.name).state is MemberState.SUSPECT
+    table.expire(2.0 + SUSPICION_MIN_S)
+    assert table.dead() == [table.get(OTHER.name)]
+    table.expire(2.0 + SUSPICION_MIN_S + KEEP_DEAD_S)
+    assert table.get(OTHER.name) is None
+
+
+def test_overload_is_told_once_and_taken_back_once():
+    signal = OverloadSignal()
+    lags_s = [0.0] * WINDOW_TICKS + [0.2] * WINDOW_TICKS + [0.05] * WINDOW_TICKS
+    changes = [signal.observe(lag_s) for lag_s in lags_s]
+    assert changes.count(True) == 1
+    assert signal.overloaded
+    assert [signal.observe(0.0) for _ in range(WINDOW_TICKS)].count(True) == 1
+    assert not signal.overloaded
