--- a/fighinge/pauses.py
+++ b/fighinge/pauses.py
@@ -35,7 +35,7 @@
         """Call a listener with the present time after each pause."""
         self._listeners.append(listener)
 
-    async def run(self, ticked: Callable[[float], None]) -> None:
+    async def run(self, ticked: Callable[[float], None] = lambda _lag_s: None) -> None:
         """Tick for as long as the task runs.
 
         :param ticked: called with how late each tick was, in seconds
