Draw no conclusion about one server while calls to most servers are slow

Supposed cause: calls to all servers became slow together, each server was taken for cold in turn, and one call at a time was too little. Now slow runs count against a server only while less than half of all recent calls are slow. A cold zone or group is still noticed, since its first slow calls come before they are half of all.

--- a/fighinge/aggregator/backend_server.py
+++ b/fighinge/aggregator/backend_server.py
@@ -9,7 +9,7 @@
 from fighinge.aggregator.base import Address, CallFailure, CallFault
 from fighinge.aggregator.cold_start import ColdStart
 from fighinge.aggregator.concurrency import AdaptiveLimit
-from fighinge.aggregator.latency import LatencyTrend
+from fighinge.aggregator.latency import LatencyTrend, SlowShare
 from fighinge.aggregator.policy import Policy
 from fighinge.messages import BackendAnswer, BackendRefusal
 
@@ -66,7 +66,12 @@
     )
 
     def __init__(
-        self, name: str, entry: BackendServerEntry, now_s: float, policy: Policy | None = None
+        self,
+        name: str,
+        entry: BackendServerEntry,
+        now_s: float,
+        policy: Policy | None = None,
+        everywhere: SlowShare | None = None,
     ) -> None:
         self.name = name
         self.address = Address(entry.host, entry.port)
@@ -87,7 +92,7 @@
         if not self._policy.cold_start:
             self.cold_start.finish()
         self._limit = AdaptiveLimit(self.slots, is_fixed=not self._policy.adaptive_limit)
-        self._trend = LatencyTrend()
+        self._trend = LatencyTrend(everywhere or SlowShare())
         self._configured_cold = False
         self._reported_cold = False
         self._drain_seen_s = float("-inf")
@@ -100,10 +105,15 @@
 
     @classmethod
     def from_config(
-        cls, name: str, entry: BackendServerEntry, now_s: float, policy: Policy | None = None
+        cls,
+        name: str,
+        entry: BackendServerEntry,
+        now_s: float,
+        policy: Policy | None = None,
+        everywhere: SlowShare | None = None,
     ) -> BackendServer:
         """Return a server as configured; it is cold until its own answers say otherwise."""
-        server = cls(name, entry, now_s, policy)
+        server = cls(name, entry, now_s, policy, everywhere)
         server.reconfigure(entry, zone_in_service=True, now_s=now_s)
         return server
 
--- a/fighinge/aggregator/service.py
+++ b/fighinge/aggregator/service.py
@@ -254,7 +254,9 @@
         if known is not None:
             return known
         shared, entry = self._shared, self._document.backend_servers[name]
-        server = BackendServer.from_config(name, entry, shared.clock(), shared.policy)
+        server = BackendServer.from_config(
+            name, entry, shared.clock(), shared.policy, shared.slow_share
+        )
         server.zone_in_service = zone_in_service(self._document, entry.zone)
         server.is_near = not self._zone or entry.zone == self._zone
         shared.client.set_quota(server.address, server.connection_quota)
--- a/fighinge/aggregator/shared.py
+++ b/fighinge/aggregator/shared.py
@@ -10,6 +10,7 @@
 from fighinge.aggregator.admission import AdmissionQueue
 from fighinge.aggregator.connections import LimitedClient
 from fighinge.aggregator.extra_load import ExtraLoadBudgets
+from fighinge.aggregator.latency import SlowShare
 from fighinge.aggregator.policy import Policy
 from fighinge.aggregator.quarantine import Quarantine
 from fighinge.aggregator.replica_choice import ReplicaChooser
@@ -34,6 +35,7 @@
         "facts",
         "policy",
         "quarantine",
+        "slow_share",
     )
 
     def __init__(
@@ -48,6 +50,7 @@
         self.clock = clock
         self.policy = policy or Policy()
         self.facts = facts or FactBoard()
+        self.slow_share = SlowShare()
         self.budgets = ExtraLoadBudgets()
         self.chooser = ReplicaChooser(random.Random(seed), compares=self.policy.latency_choice)
         self.quarantine = Quarantine(self.facts.add)
--- a/tests/backend_builders.py
+++ b/tests/backend_builders.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fighinge.aggregator.backend_server import BackendServer
+from fighinge.aggregator.latency import SlowShare
 from fighinge.aggregator.service import AggregatorService
 from fighinge.groups import GroupMap
 from fighinge.messages import BackendAnswer, GroupShards, Search, ServerState, SubQuery
@@ -21,13 +22,15 @@
 CALLS_UNTIL_WARM = 200
 
 
-def server(*, slots: int = 4, now_s: float = 0.0, process_id: str = "p1") -> BackendServer:
+def server(
+    *, slots: int = 4, now_s: float = 0.0, everywhere: SlowShare | None = None
+) -> BackendServer:
     """Return a cold server that was contacted once."""
     entry = BackendServerEntry(
         host="127.0.0.1", port=9000, zone="z1", slots=slots, connection_limit=35
     )
-    built = BackendServer.from_config("b0", entry, now_s)
-    built.reported(ServerState(process_id), now_s)
+    built = BackendServer.from_config("b0", entry, now_s, everywhere=everywhere)
+    built.reported(ServerState("p1"), now_s)
     return built
 
 
@@ -38,9 +41,11 @@
     server.finished("f", query_class, result, took_s, now_s)
 
 
-def warm_server(*, slots: int = 4, until_s: float = 100.0) -> BackendServer:
+def warm_server(
+    *, slots: int = 4, until_s: float = 100.0, everywhere: SlowShare | None = None
+) -> BackendServer:
     """Return a server that answered its way to its full load."""
-    built = server(slots=slots)
+    built = server(slots=slots, everywhere=everywhere)
     for number in range(CALLS_UNTIL_WARM):
         answer(built, until_s * (number + 1) / CALLS_UNTIL_WARM)
     return built
--- a/tests/test_backend_server.py
+++ b/tests/test_backend_server.py
@@ -6,6 +6,7 @@
 
 from fighinge.aggregator.backend_server import connection_quota
 from fighinge.aggregator.base import CallFailure, CallFault
+from fighinge.aggregator.latency import SlowShare
 from fighinge.messages import BackendRefusal, ServerState
 from tests.backend_builders import answer, server, warm_server
 
@@ -72,6 +73,15 @@
     assert warm.cold_start.is_cold
 
 
+def test_slow_calls_to_every_server_are_no_cold_start():
+    everywhere = SlowShare()
+    servers = [warm_server(everywhere=everywhere) for _number in range(30)]
+    for number in range(20):
+        for warm in servers:
+            answer(warm, 101.0 + number, took_s=0.05)
+    assert not any(warm.cold_start.is_cold for warm in servers)
+
+
 def test_stragglers_are_not_a_cold_start():
     warm = warm_server()
     for number in range(100):
