--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -21,11 +21,13 @@
     from fighinge.entry.query_plan import PlannedGroup, QueryPlan
     from fighinge.entry.response_times import ResponseTimes
     from fighinge.messages import GroupOutcome, Search
+    from fighinge.model import Snapshot
 
 REPLACED_KINDS = frozenset(
     {ErrorKind.NOT_OWNER, ErrorKind.STOPPING, ErrorKind.NOT_READY, ErrorKind.ZONE_OUT}
 )
 VANISHED_KINDS = frozenset({ErrorKind.SNAPSHOT_GONE, ErrorKind.NO_REPLICA})
+DROPPED_KINDS = frozenset({ErrorKind.SNAPSHOT_GONE})
 VANISHED_SHARE = 0.1
 SILENCE_SHARE = 0.3
 SILENCE_FACTOR = 4.0
@@ -71,8 +73,8 @@
     """Collects the parts of one query until all groups answered or time is up.
 
     ``sent`` stays false only while it is certain that no backend server was sent the request.
-    ``is_replaceable`` tells whether the query would be planned again on a snapshot that promises
-    more, so that a run whose snapshot vanishes ends at once.
+    Once many shards are no longer served at the snapshot, ``find_replacement`` is asked for
+    another one; with a ``replacement`` the run ends at once.
     """
 
     __slots__ = (
@@ -86,8 +88,10 @@
         "_rule",
         "_silence_s",
         "_terms",
+        "_vanished_share",
         "collector",
-        "is_replaceable",
+        "find_replacement",
+        "replacement",
         "retry_after_s",
         "sent",
         "snapshot",
@@ -108,13 +112,15 @@
         self.traces: list[GroupTrace] = []
         self.sent = False
         self.retry_after_s = 0.0
-        self.is_replaceable: Callable[[], bool] = lambda: False
+        self.find_replacement: Callable[[QueryRun], Snapshot | None] | None = None
+        self.replacement: Snapshot | None = None
         self._terms = terms
         self._plan = plan
         self._context = context
         self._deadline_s = deadline_s
         self._rule = rule
         self._silence_s = 0.0
+        self._vanished_share = 0.0
         self._pending = dict.fromkeys(plan.groups, 0.0)
         self._next_owner: dict[str, int] = {}
         self._calls: dict[int, _Call] = {}
@@ -125,6 +131,12 @@
         """Return whether many shards are no longer served at the snapshot."""
         return 1 - self.reachable_share >= VANISHED_SHARE
 
+    @property
+    def dropped(self) -> bool:
+        """Return whether backend servers no longer hold the snapshot of many shards."""
+        count = len(self.snapshot.shards)
+        return self.collector.missing_of(DROPPED_KINDS) >= VANISHED_SHARE * count
+
     @property
     def reachable_share(self) -> float:
         """Return the share of the shards that may still be served at the snapshot."""
@@ -265,7 +277,17 @@
         if len(outcome.parts) < len(shards):
             answered = {part.shard for part in outcome.parts}
             self.collector.add_unanswered(shard for shard in shards if shard not in answered)
-        if outcome.missing and self.vanished and self.is_replaceable():
+        if self.find_replacement is not None:
+            self._look_for_replacement()
+
+    def _look_for_replacement(self) -> None:
+        """Look for another snapshot each time that a further share of the shards vanished."""
+        vanished_share = 1 - self.reachable_share
+        if vanished_share < self._vanished_share + VANISHED_SHARE:
+            return
+        self._vanished_share = vanished_share
+        self.replacement = self.find_replacement(self)
+        if self.replacement is not None:
             self._done.set()
 
     def _is_asked_elsewhere(self, group: str) -> bool:
