Name the error kind again where no replica can be reached

The rewritten test_all_replicas_unreachable no longer said which kind is expected, which made it weaker than the one before; it expects NO_REPLICA.

--- a/tests/test_query_service.py
+++ b/tests/test_query_service.py
@@ -94,6 +94,7 @@
         return await parts.service.query("desk", QueryRequest(limit=5))
 
     answer = run(work)
+    assert answer.kind is ErrorKind.NO_REPLICA
     assert answer.not_run
     assert answer.retry_after_s > 0
     assert len(answer.coverage.missing) == 2
