Give each concurrent query that is not repeatable a ticket of its own

Cause: the new contract test of callers sent six such queries at once: asking for tickets threw away those that another query was about to take, and some ended with not_ready ("no entry gives tickets") although every entry gave some. Change: asking and taking happen under one lock; after a failure only the tickets of the entry that failed are dropped.

--- a/fighinge/client.py
+++ b/fighinge/client.py
@@ -30,6 +30,13 @@
 )
 
 
+class _Ticket(msgspec.Struct, frozen=True):
+    """A ticket and the entry that minted it."""
+
+    text: str
+    url: str
+
+
 class Client:
     """Asks which entries to use, keeps the answer and sends queries there.
 
@@ -68,7 +75,7 @@
         self._clock = clock
         self._http = create_client(MAX_CONCURRENT_CALLS)
         self._entries: list[EntryAddress] = []
-        self._tickets: list[tuple[str, str]] = []
+        self._tickets: list[_Ticket] = []
         self._kept_until_s = 0.0
         self._refreshing = asyncio.Lock()
 
@@ -99,25 +106,31 @@
         self, service: str, request: QueryRequest, started_s: float
     ) -> QueryAnswer | QueryError:
         """Run a query under a ticket; another ticket is used only if it has certainly not run."""
-        last = _error(request, Failure(ErrorKind.NOT_READY, "no entry gives tickets"), not_run=True)
         tried: set[str] = set()
         for _ in range(MAX_TICKETS_TRIED):
-            if not self._tickets:
-                self._kept_until_s = 0.0
-                failure = await self._refresh(self._clock(), tried)
-                if failure is not None:
-                    return _error(request, failure, not_run=True)
-            if not self._tickets:
-                return last
-            ticket, url = self._tickets.pop()
-            ticketed = msgspec.structs.replace(request, ticket=ticket)
-            last = await self._send(url, service, ticketed, started_s)
+            ticket = await self._take_ticket(tried)
+            if isinstance(ticket, Failure):
+                return _error(request, ticket, not_run=True)
+            ticketed = msgspec.structs.replace(request, ticket=ticket.text)
+            last = await self._send(ticket.url, service, ticketed, started_s)
             if not _moves_on(last):
-                return last
-            tried.add(url)
-            self._tickets.clear()
+                break
+            tried.add(ticket.url)
+            self._tickets = [kept for kept in self._tickets if kept.url != ticket.url]
         return last
 
+    async def _take_ticket(self, tried: Set[str]) -> _Ticket | Failure:
+        """Return a fresh ticket that no other query has."""
+        async with self._refreshing:
+            now_s = self._clock()
+            if not self._tickets or now_s >= self._kept_until_s:
+                failure = await self._ask_all(now_s, tried)
+                if failure is not None:
+                    return failure
+            if not self._tickets:
+                return Failure(ErrorKind.NOT_READY, "no entry gives tickets")
+            return self._tickets.pop()
+
     def _urls(self, ticket: str) -> Iterator[str]:
         """Yield where to send a query, first to the entry that a ticket names."""
         minted_by = ticket.partition("/")[0]
@@ -125,19 +138,18 @@
         preferred = [entry.url for entry in self._entries if entry.name == minted_by]
         yield from dict.fromkeys(preferred + urls)
 
-    async def _refresh(self, now_s: float, tried: Set[str] = frozenset()) -> Failure | None:
+    async def _refresh(self, now_s: float) -> Failure | None:
         """Ask for addresses again where the kept answer is too old.
 
         While no entry answers, the last answer stays in use.
-
-        :param tried: entries that have just failed, which are asked last
         """
         async with self._refreshing:
             if now_s < self._kept_until_s and self._entries:
                 return None
-            return await self._ask_all(now_s, tried)
+            return await self._ask_all(now_s)
 
-    async def _ask_all(self, now_s: float, tried: Set[str]) -> Failure | None:
+    async def _ask_all(self, now_s: float, tried: Set[str] = frozenset()) -> Failure | None:
+        """Ask entries until one answers, those that have just failed last."""
         self._tickets.clear()
         reason = "no address to ask"
         known = dict.fromkeys([entry.url for entry in self._entries] + self._seeds)
@@ -147,7 +159,7 @@
                 reason = answer.reason
                 continue
             self._entries = answer.entries
-            self._tickets = [(ticket, url) for ticket in answer.tickets]
+            self._tickets = [_Ticket(text, url) for text in answer.tickets]
             self._kept_until_s = now_s + answer.keep_s
             return None
         if self._entries:
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -12,16 +12,23 @@
 
 from fighinge.aggregator.base import Address, CallFault
 from fighinge.aggregator.http_client import HttpBackendClient
+from fighinge.client import Client
 from fighinge.configuration.base import HostEntry, Values
 from fighinge.configuration.platform_client import PlatformClient
+from fighinge.entry.at_most_once import AtMostOnceQueries
+from fighinge.entry.http_server import create_server
+from fighinge.entry.tickets import TicketRegistry
 from fighinge.errors import Failure
 from fighinge.messages import BackendAnswer, BackendRefusal, BackendRequest, Search
 from fighinge.model import decode_document
+from fighinge.queries import EntriesAnswer, EntryAddress, QueryAnswer, QueryRequest
 from standins import backend_http, platform_http
 from standins.backend import StandinServer
 from standins.direct import DirectBackendClient
 from standins.platform import PlatformBehaviour, StandinPlatform
 from tests.builders import raw_document
+from tests.entries import StandinEntry
+from tests.systems import whole_system
 
 TIMEOUT_S = 5.0
 CALL_CLIENTS = ("direct", "http")
@@ -286,3 +293,51 @@
             assert platform.calls == {"contract": 3}
 
     asyncio.run(run())
+
+
+@contextlib.asynccontextmanager
+async def _entry(implementation: str):
+    """Yield the URL of an entry."""
+    if implementation == "stand-in":
+        entry = StandinEntry("e1")
+        try:
+            yield entry.url
+        finally:
+            await entry.close()
+        return
+    async with whole_system(raw_document()) as service:
+        loop, port = asyncio.get_running_loop(), _unused_port()
+        tickets = TicketRegistry.create("e1")
+        queries = AtMostOnceQueries(service, tickets, None, loop.time)
+
+        def entries(_caller, _zone):
+            address = EntryAddress("e1", "z1", f"http://127.0.0.1:{port}")
+            minted = tickets.mint(1, loop.time())
+            return EntriesAnswer(entries=[address], keep_s=60.0, tickets=minted)
+
+        server = create_server(queries, entries)
+        server.listen(port, "127.0.0.1")
+        try:
+            yield f"http://127.0.0.1:{port}"
+        finally:
+            server.stop()
+            await server.close_all_connections()
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+@pytest.mark.parametrize("implementation", ["stand-in", "real"])
+def test_caller_gets_whole_answers_to_its_own_requests(implementation, repeatable):
+    async def run():
+        async with _entry(implementation) as url:
+            client = Client([url])
+            requests = [
+                QueryRequest(request_id=f"r{number}", repeatable=repeatable) for number in range(6)
+            ]
+            results = await asyncio.gather(*(client.query("desk", request) for request in requests))
+            client.close()
+            return results
+
+    results = asyncio.run(run())
+    assert [result.request_id for result in results] == [f"r{number}" for number in range(6)]
+    assert all(isinstance(result, QueryAnswer) for result in results), results
+    assert all(result.coverage.share == 1.0 for result in results)
