Give the views 5 s to agree after a pause in the test of real processes

The test looked at one member in one view at the instant when it knew all members, and failed in two of five runs when a suspicion raised during the pause was just being refuted, which is right. It now wants every view of every process to hold all members alive within the 5 s that are the target, which is more than it asked before.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -40,7 +40,9 @@
 async def _all_members_known(fleet: demo.Fleet) -> bool:
     views = [await _view(role, host) for role, host in fleet.processes]
     return all(
-        view.configuration_confirmed and len(view.members) == len(fleet.processes) for view in views
+        view.configuration_confirmed
+        and [member.state for member in view.members] == ["alive"] * len(fleet.processes)
+        for view in views
     )
 
 
@@ -111,16 +113,12 @@
         try:
             await fleet.start()
             await _until(lambda: _all_members_known(fleet))
-            paused, other = (host.address for host in fleet.hosts)
-            process = fleet.processes["entry", paused]
+            process = fleet.processes["entry", fleet.hosts[0].address]
 
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(PAUSE_S)
             process.send_signal(signal.SIGCONT)
             await _until(lambda: _all_members_known(fleet), 5)
-            view = await _view("entry", other)
-            states = {member.name: member.state for member in view.members}
-            assert states[f"entry@{paused}"] == "alive"
         finally:
             await fleet.stop()
 
