--- a/fighinge/aggregator/replica_group.py
+++ b/fighinge/aggregator/replica_group.py
@@ -283,7 +283,7 @@
         """Open connections to a process that is new, and believe who knows it to be warm."""
         if server.process_id in self._shared.warm_processes(server.name, now_s):
             server.told_warm(server.process_id)
-        connections = min(server.slots + 1, server.connection_quota)
+        connections = min(server.allowance() + 1, server.connection_quota)
         self._spawn(self._shared.client.warm_up(server.address, connections))
 
     def _hedge_delay(self, query_class: str) -> HedgeDelay:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -19,6 +19,7 @@
 
 CONNECTION_LIMIT = 13
 SLOTS = 4
+STARTING_OWNERS = 8
 
 
 def _request(number):
@@ -81,6 +82,31 @@
     assert server.opened_connections <= CONNECTION_LIMIT - 1, "connections are kept"
 
 
+def test_owners_that_start_at_once_stay_below_the_limit():
+    async def run():
+        server = RawServer(Counter())
+        await server.start()
+        raw = raw_document(servers=1, shards=1)
+        raw["backend_servers"]["b0"] |= {
+            "port": server.port,
+            "connection_limit": 35,
+            "slots": SLOTS,
+        }
+        document = decode_document(msgspec.json.encode(raw))
+        clients = [HttpBackendClient.create() for _number in range(STARTING_OWNERS)]
+        for client in clients:
+            service = AggregatorService(client, asyncio.get_running_loop().time)
+            service.configure(document)
+        await asyncio.sleep(0.5)
+        server.stop()
+        for client in clients:
+            client.close()
+        return server.peak_connections
+
+    peak = asyncio.run(run())
+    assert STARTING_OWNERS <= peak < 35
+
+
 class SlowClient:
     """A client whose calls take a while."""
 
