Break at-most-once where sub-queries are sent

Cause: the broken variant sent the planned groups twice; a run now asks each planned group only once, so the variant broke nothing and was not caught. Change: it sends every sub-query twice, canaries and takeovers too, which is as strict.

--- a/tests/test_broken_variants.py
+++ b/tests/test_broken_variants.py
@@ -68,13 +68,13 @@
 
 
 def _run_twice(monkeypatch):
-    send_planned = QueryRun._send_planned
+    send_to = QueryRun._send_to
 
-    def send_twice(self):
-        send_planned(self)
-        send_planned(self)
+    def send_twice(self, owner, groups, *, takeover):
+        send_to(self, owner, groups, takeover=takeover)
+        send_to(self, owner, groups, takeover=takeover)
 
-    monkeypatch.setattr(QueryRun, "_send_planned", send_twice)
+    monkeypatch.setattr(QueryRun, "_send_to", send_twice)
 
 
 def _ignore_drains(monkeypatch):
