Run a suspect alone in one more group before a query goes to all

Ruled out: unlike fingerprints (the marked requests are equal), and the quarantine's own rule (it held within each group). Change: the canary counts lost servers; after one without an answer the next group is told that the request is a suspect and runs it alone; a second loss ends the query.

--- a/fighinge/aggregator/attempts.py
+++ b/fighinge/aggregator/attempts.py
@@ -107,7 +107,7 @@
         candidates = self._candidates()
         if not candidates:
             return Refused(Failure(ErrorKind.NO_REPLICA, "no replica serves the index version"))
-        if verdict is Verdict.SUSPECT:
+        if verdict is Verdict.SUSPECT or self._sub_query.is_suspect:
             return await self._probe(candidates, "first")
         server = await self._acquire(candidates)
         if isinstance(server, Refused):
--- a/fighinge/entry/canary.py
+++ b/fighinge/entry/canary.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable, Iterable
 
     from fighinge.entry.query_plan import QueryPlan
-    from fighinge.messages import GroupOutcome
+    from fighinge.messages import Attempt, GroupOutcome
     from fighinge.model import Service
     from fighinge.queries import GroupTrace
 
@@ -25,6 +25,7 @@
 MAX_PROVEN = 100_000
 SECOND_CANARY_SHARE = 0.15
 RELEASE_SHARE = 0.5
+LOSSES_TO_STOP = 2
 
 
 class ProvenFingerprints:
@@ -77,7 +78,7 @@
         self, fingerprint: str, traces: list[GroupTrace], now_s: float, *, is_answered: bool
     ) -> None:
         """Take a query for proven, or no longer where a server was lost in running it."""
-        if any(_lost_server(trace) for trace in traces):
+        if any(lost_servers(trace.attempts) for trace in traces):
             self._proven.remove(fingerprint)
         elif is_answered:
             self._proven.add(fingerprint, now_s)
@@ -116,21 +117,29 @@
     """Asks one group of a query before all others, and a second one if the first is slow.
 
     A group that answers releases the others. So does the release time, for a request that
-    crashes backend servers shows it by lost connections, not by silence.
+    crashes backend servers shows it by lost connections, not by silence. After one loss without
+    an answer another group runs the request as a suspect, alone on one server; a second loss
+    ends the query.
     """
 
-    __slots__ = ("_clock", "_groups", "_outcomes", "_times")
+    __slots__ = ("_clock", "_groups", "_lost_servers", "_outcomes", "_times")
 
     def __init__(self, groups: list[str], times: CanaryTimes, clock: Callable[[], float]) -> None:
         self._groups = groups
         self._times = times
         self._clock = clock
+        self._lost_servers = 0
         self._outcomes: asyncio.Queue[GroupOutcome] = asyncio.Queue()
 
     def outcome(self, outcome: GroupOutcome) -> None:
         """Take the outcome of a group that was asked."""
         self._outcomes.put_nowait(outcome)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether a backend server was lost in running the request."""
+        return self._lost_servers > 0
+
     async def run(self, ask: Callable[[str], None]) -> CanaryVerdict:
         """Ask groups one after the other until it is clear whether to ask the others."""
         groups = iter(self._groups)
@@ -139,18 +148,25 @@
         while True:
             outcome = await self._next(until_s)
             if outcome is None and until_s == self._times.release_s:
-                return CanaryVerdict.RELEASED
+                return CanaryVerdict.STOPPED if self.is_suspect else CanaryVerdict.RELEASED
             if outcome is None:
                 until_s = self._times.release_s
+                if self.is_suspect:
+                    continue
             elif outcome.parts:
+                self._lost_servers = 0
                 return CanaryVerdict.RELEASED
-            elif is_suspicious(outcome):
+            elif self._ends_query(outcome):
                 return CanaryVerdict.STOPPED
             group = next(groups, None)
             if group is None:
-                return CanaryVerdict.RELEASED
+                return CanaryVerdict.STOPPED if self.is_suspect else CanaryVerdict.RELEASED
             ask(group)
 
+    def _ends_query(self, outcome: GroupOutcome) -> bool:
+        self._lost_servers += lost_servers(outcome.attempts)
+        return self._lost_servers >= LOSSES_TO_STOP or is_suspicious(outcome)
+
     async def _next(self, until_s: float) -> GroupOutcome | None:
         try:
             async with asyncio.timeout(max(0.0, until_s - self._clock())):
@@ -166,6 +182,7 @@
     )
 
 
-def _lost_server(trace: GroupTrace) -> bool:
+def lost_servers(attempts: list[Attempt]) -> int:
+    """Return how many calls ended with the loss of their connection."""
     lost = CallFault.CONNECTION_LOST.value
-    return any(attempt.result == lost for attempt in trace.attempts)
+    return sum(attempt.result == lost for attempt in attempts)
--- a/fighinge/entry/query_run.py
+++ b/fighinge/entry/query_run.py
@@ -347,6 +347,7 @@
             fingerprint=terms.fingerprint,
             configuration_version=terms.configuration_version,
             takeover=takeover,
+            is_suspect=self._canary is not None and self._canary.is_suspect,
         )
         call = SubQueryCall(self, number, owner, groups, now_s, takeover=takeover)
         self._calls[number] = call
--- a/fighinge/messages.py
+++ b/fighinge/messages.py
@@ -122,7 +122,8 @@
     """One aggregator's share of a query.
 
     ``call`` is unique per entry process and aggregator; ``remaining_s`` is the time left
-    until the deadline when the message was sent.
+    until the deadline when the message was sent. ``is_suspect`` tells that a backend server of
+    another group was lost with this query in flight.
     """
 
     call: int
@@ -139,6 +140,7 @@
     fingerprint: str
     configuration_version: int
     takeover: bool = False
+    is_suspect: bool = False
 
 
 class Attempt(msgspec.Struct):
--- a/fighinge/wire/codec.py
+++ b/fighinge/wire/codec.py
@@ -117,6 +117,7 @@
         fingerprint=message.fingerprint,
         configuration_version=message.configuration_version,
         takeover=message.takeover,
+        is_suspect=message.is_suspect,
     )
 
 
@@ -140,4 +141,5 @@
         fingerprint=sub_query.fingerprint,
         configuration_version=sub_query.configuration_version,
         takeover=sub_query.takeover,
+        is_suspect=sub_query.is_suspect,
     )
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -16,7 +16,7 @@
     canary_order,
 )
 from fighinge.errors import ErrorKind
-from fighinge.messages import GroupOutcome, ShardPart, failed_group
+from fighinge.messages import Attempt, GroupOutcome, ShardPart, failed_group
 from tests import virtual_time
 
 
@@ -24,6 +24,12 @@
     return GroupOutcome(group=group, parts=[ShardPart("s", 1, [], 0)], sent=True)
 
 
+def lost(group):
+    outcome = failed(group, ErrorKind.BACKEND_LOST)
+    outcome.attempts.append(Attempt("b", 1, "first", 0.0, 1.0, "connection_lost"))
+    return outcome
+
+
 def failed(group, kind):
     return failed_group(group, ["s"], kind, "", sent=True)
 
@@ -38,6 +44,9 @@
             ["g1", "g2"],
             CanaryVerdict.RELEASED,
         ),
+        ([lost, answered], ["g1", "g2"], CanaryVerdict.RELEASED),
+        ([lost, lost], ["g1", "g2"], CanaryVerdict.STOPPED),
+        ([lost, None], ["g1", "g2"], CanaryVerdict.STOPPED),
         ([None, answered], ["g1", "g2"], CanaryVerdict.RELEASED),
         ([None, None], ["g1", "g2"], CanaryVerdict.RELEASED),
         (
@@ -55,7 +64,7 @@
         seen = []
 
         def ask(group):
-            outcome = outcomes[len(seen)]
+            outcome = outcomes[len(seen)] if len(seen) < len(outcomes) else None
             seen.append(group)
             if outcome is not None:
                 canary.outcome(outcome(group))
