Restart processes in the bench as an operator does, and find aggregators sooner

Change: a restart in the bench ends when every process that answers takes the new process for alive. Two more for a fleet in that state: the host list counts until another member of the role was heard of, not of any role; and the client moves on from an entry that finds no owner and says not run. Result: tests pass; one more case in the client's table and one in the fleet's.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,7 +13,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from benchmarks.usage import Usage, read_usage
-from demo.fleet import BACKEND_HOST, PLATFORM_HOST, PLATFORM_PORT, Fleet
+from demo.fleet import BACKEND_HOST, PLATFORM_HOST, PLATFORM_PORT, READY_TIMEOUT_S, Fleet
 from fighinge.configuration.history import BASE_KEY, PATCH_PREFIX
 from fighinge.model import decode_document
 from standins import platform_http
@@ -36,6 +36,7 @@
 
     name: str
     state: str
+    leaving: bool
 
 
 class ProcessView(msgspec.Struct):
@@ -47,6 +48,9 @@
     sent_bytes: int
 
 
+POLL_S = 0.05
+
+
 class MeasuredFleet(Fleet):
     """A fleet whose backend servers run in processes of their own."""
 
@@ -211,11 +215,30 @@
         os.kill(self.processes[role, host.address].pid, number)
 
     async def restart_process(self, role: str, host: HostEntry) -> int:
-        """Stop a process gracefully, start it again and return its exit code."""
+        """Restart a process as an operator does and return its exit code.
+
+        Returns once every process that answers takes the new one for alive.
+        """
         process = self.processes[role, host.address]
         process.terminate()
         code = await process.wait()
         await self.start_process(role, host)
         if role == "entry":
             await self.wait_ready(host)
+        await self._wait_alive(f"{role}@{host.address}")
         return code
+
+    async def _wait_alive(self, member_name: str) -> None:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                views = await self.views()
+                if all(_is_alive(view, member_name) for view in views):
+                    return
+                await asyncio.sleep(POLL_S)
+
+
+def _is_alive(view: ProcessView, member_name: str) -> bool:
+    return any(
+        member.name == member_name and member.state == "alive" and not member.leaving
+        for member in view.members
+    )
--- a/fighinge/client.py
+++ b/fighinge/client.py
@@ -26,7 +26,13 @@
 MAX_CONCURRENT_CALLS = 200
 MAX_TICKETS_TRIED = 3
 MOVED_KINDS = frozenset(
-    {ErrorKind.NOT_READY, ErrorKind.STOPPING, ErrorKind.ZONE_OUT, ErrorKind.OUTCOME_UNKNOWN}
+    {
+        ErrorKind.NOT_READY,
+        ErrorKind.STOPPING,
+        ErrorKind.ZONE_OUT,
+        ErrorKind.OWNER_UNREACHABLE,
+        ErrorKind.OUTCOME_UNKNOWN,
+    }
 )
 
 
--- a/fighinge/membership/fleet.py
+++ b/fighinge/membership/fleet.py
@@ -39,7 +39,7 @@
     """The members that take new work.
 
     The host list is believed where it says that a host is leaving. That it lists a host as
-    live counts only until the first member has been heard from.
+    live counts only until another member of the role has been heard of.
     """
 
     __slots__ = ("_board", "_clock", "_hosts", "_keep_s", "_ports", "_returns", "_table")
@@ -104,7 +104,7 @@
     def _in_work(self, role: Role) -> list[tuple[str, str, bool]]:
         """Return host, zone and overload of the members of a role that take new work."""
         now_s = self._clock()
-        if self._table.reachable():
+        if self._has_heard_of(role):
             found = [
                 (member.host, member.zone, member.overloaded)
                 for member in self._alive(role)
@@ -114,6 +114,11 @@
             found = [(host.address, host.zone, False) for host in self._hosts]
         return [entry for entry in found if not self._is_leaving(entry[0], now_s)]
 
+    def _has_heard_of(self, role: Role) -> bool:
+        """Return whether any other member of a role was ever heard of, dead or alive."""
+        me = self._table.me
+        return any(member.role is role and member is not me for member in self._table.members())
+
     def _alive(self, role: Role) -> list[Member]:
         return [
             member
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -25,6 +25,7 @@
 REFUSALS = {
     "is not ready": ErrorKind.NOT_READY,
     "is stopping": ErrorKind.STOPPING,
+    "finds no owner": ErrorKind.OWNER_UNREACHABLE,
     "is out": ErrorKind.ZONE_OUT,
     "is overloaded": ErrorKind.OVERLOADED,
 }
@@ -111,6 +112,7 @@
         kind = REFUSALS.get(entry.fault)
         if kind is not None:
             error = query_error(request.request_id, Failure(kind, entry.fault))
+            error.not_run = True
             self.set_status(ANSWERS[kind].http_status)
             self.finish(msgspec.json.encode(error))
             return
--- a/tests/features/client.feature
+++ b/tests/features/client.feature
@@ -15,6 +15,7 @@
       | is not ready       | repeatable     | 0     | 1      | the answer      |
       | is stopping        | repeatable     | 0     | 1      | the answer      |
       | is out             | repeatable     | 0     | 1      | the answer      |
+      | finds no owner     | repeatable     | 0     | 1      | the answer      |
       | is overloaded      | repeatable     | 0     | 0      | overloaded      |
       | drops when running | repeatable     | 1     | 0      | outcome_unknown |
       | answers nonsense   | repeatable     | 1     | 0      | outcome_unknown |
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -118,6 +118,12 @@
     assert [candidate.name for candidate in fleet.aggregators()] == expected
 
 
+def test_host_list_counts_until_a_member_of_the_role_was_heard_of():
+    fleet, _board = _fleet(Member(Role.ENTRY, "10.0.2.2", "z2", 5))
+    fleet.take([HostEntry("10.0.2.2", "z2", "live"), HostEntry("10.0.2.3", "z2", "live")])
+    assert len(fleet.aggregators()) == 2
+
+
 @pytest.mark.parametrize(
     ("elapsed_s", "share"),
     [(0.0, 0.125), (STEP_S, 0.25), (2 * STEP_S, 0.5), (RETURN_S, 1.0), (1e6, 1.0)],
