Work out owned groups only after a change

Change: owners are computed anew only when members or configuration have changed, and a group ranks each zone once instead of once for each candidate. The module's words now say what it holds: held_groups, HeldGroups, HoldReason in place of tenure, Holdings, Tenure. Result: tests of ownership, hand-over and takeover times, which had none.

--- a/fighinge/aggregator/service.py
+++ b/fighinge/aggregator/service.py
@@ -8,9 +8,9 @@
 import logbook
 
 from fighinge.aggregator.backend_server import BackendServer
+from fighinge.aggregator.held_groups import HeldGroups
 from fighinge.aggregator.replica_group import ReplicaGroup
 from fighinge.aggregator.shared import SharedParts
-from fighinge.aggregator.tenure import Holdings
 from fighinge.errors import ErrorKind, Failure
 from fighinge.facts import Fact, FactKind
 from fighinge.groups import GroupMap
@@ -22,8 +22,8 @@
     from collections.abc import Callable
 
     from fighinge.aggregator.base import BackendClient
+    from fighinge.aggregator.held_groups import FleetView
     from fighinge.aggregator.policy import Policy
-    from fighinge.aggregator.tenure import FleetView
     from fighinge.facts import FactBoard
     from fighinge.messages import GroupOutcome, GroupShards, GroupStatus, SubQuery
     from fighinge.model import Document
@@ -46,7 +46,7 @@
         "_document",
         "_group_map",
         "_groups",
-        "_holdings",
+        "_held",
         "_is_stopping",
         "_running",
         "_servers",
@@ -70,7 +70,7 @@
         self._shared = SharedParts(client, clock, policy, facts, seed)
         self._shared.facts.listen(self._take_fact)
         self._zone = zone
-        self._holdings = Holdings(name, fleet)
+        self._held = HeldGroups(name, fleet)
         self._document: Document | None = None
         self._group_map: GroupMap | None = None
         self._groups: dict[str, ReplicaGroup] = {}
@@ -104,14 +104,14 @@
         if self._document is None:
             return
         now_s = self._shared.clock()
-        left = self._holdings.review(self._group_map, self._document, now_s)
-        for name in self._holdings.names():
+        left = self._held.review(self._group_map, self._document, now_s)
+        for name in self._held.names():
             if name not in self._groups:
                 self._take_up(name, "owned")
         for name in left:
             logger.notice("group {} is owned by another aggregator now", name)
             self._tell_warm(name, now_s)
-        for name in self._holdings.expired(now_s):
+        for name in self._held.expired(now_s):
             if name not in self._groups or not self._groups[name].running:
                 self._drop(name)
 
@@ -225,7 +225,7 @@
         if name not in self._group_map.groups:
             return Failure(ErrorKind.NOT_OWNER, "the group is not configured here")
         now_s = self._shared.clock()
-        if not self._holdings.asked(name, now_s, takeover=sub_query.takeover):
+        if not self._held.asked(name, now_s, takeover=sub_query.takeover):
             return Failure(ErrorKind.NOT_OWNER, "the group is owned by another aggregator")
         if name not in self._groups:
             self._take_up(name, "takeover")
@@ -279,7 +279,7 @@
                 self._spawn(group.poll(server))
 
     def _drop(self, name: str) -> None:
-        self._holdings.drop(name)
+        self._held.drop(name)
         group = self._groups.pop(name, None)
         if group is None:
             return
--- a/fighinge/ownership.py
+++ b/fighinge/ownership.py
@@ -34,20 +34,47 @@
     Aggregators in the zones that hold most of the group's backend servers come first;
     among equals the rendezvous hash decides.
     """
-    replicas_in_zone: dict[str, int] = {}
-    for server in group.backend_servers:
-        zone = document.backend_servers[server].zone
-        replicas_in_zone[zone] = replicas_in_zone.get(zone, 0) + 1
-    eligible = [candidate for candidate in candidates if zone_in_service(document, candidate.zone)]
-    ranked = sorted(
-        eligible,
-        key=lambda candidate: (
-            not _has_share(candidate, group),
-            -replicas_in_zone.get(candidate.zone, 0),
-            -rendezvous_weight(candidate.name, group.name),
-        ),
-    )
-    return [candidate.name for candidate in ranked]
+    ranks = _ZoneRanks(group, document)
+    weighed = [
+        (ranks.of(candidate), -rendezvous_weight(candidate.name, group.name), candidate.name)
+        for candidate in candidates
+        if ranks.is_eligible(candidate.zone)
+    ]
+    weighed.sort()
+    return [name for _rank, _weight, name in weighed]
+
+
+class _ZoneRanks:
+    """How near zones are to a group, worked out once for each zone."""
+
+    __slots__ = ("_document", "_eligible", "_group", "_ranks", "_replicas")
+
+    def __init__(self, group: Group, document: Document) -> None:
+        self._group = group
+        self._document = document
+        self._eligible: dict[str, bool] = {}
+        self._ranks: dict[tuple[str, float], tuple[bool, int]] = {}
+        self._replicas: dict[str, int] = {}
+        for server in group.backend_servers:
+            zone = document.backend_servers[server].zone
+            self._replicas[zone] = self._replicas.get(zone, 0) + 1
+
+    def is_eligible(self, zone: str) -> bool:
+        """Return whether aggregators of a zone may own groups."""
+        eligible = self._eligible.get(zone)
+        if eligible is None:
+            eligible = self._eligible[zone] = zone_in_service(self._document, zone)
+        return eligible
+
+    def of(self, candidate: Candidate) -> tuple[bool, int]:
+        """Return the rank of a candidate by its zone; the lowest comes first."""
+        key = (candidate.zone, candidate.share)
+        rank = self._ranks.get(key)
+        if rank is None:
+            lacks_share = not _has_share(candidate, self._group)
+            rank = (lacks_share, -self._replicas.get(candidate.zone, 0))
+            self._ranks[key] = rank
+        return rank
 
 
 def _has_share(candidate: Candidate, group: Group) -> bool:
--- /dev/null
+++ b/tests/test_held_groups.py
@@ -0,0 +1,62 @@
+"""Tests of which replica groups an aggregator holds."""
+
+from __future__ import annotations
+
+import pytest
+
+from fighinge.aggregator.held_groups import HANDOVER_S, TAKEOVER_S, HeldGroups
+from fighinge.groups import GroupMap
+from fighinge.ownership import Candidate
+from tests.builders import document
+
+DOCUMENT = document()
+GROUPS = GroupMap.from_document(DOCUMENT)
+(GROUP,) = GROUPS.groups
+
+
+class ListedFleet:
+    """A fleet with the aggregators that a test lists."""
+
+    def __init__(self, *names):
+        self.names = names
+
+    def aggregators(self):
+        return [Candidate(name, "z1") for name in self.names]
+
+
+def test_ownership_follows_the_fleet():
+    fleet = ListedFleet("a1")
+    held = HeldGroups("a1", fleet)
+    held.review(GROUPS, DOCUMENT, 0.0)
+    assert held.asked(GROUP, 0.0, takeover=False)
+
+    fleet.names = ("a2",)
+    assert held.review(GROUPS, DOCUMENT, 1.0) == {GROUP}
+    assert held.review(GROUPS, DOCUMENT, 1.5) == set()
+
+    fleet.names = ("a1",)
+    held.review(GROUPS, DOCUMENT, 2.0)
+    assert held.asked(GROUP, 100.0, takeover=False)
+
+
+@pytest.mark.parametrize(
+    ("after_s", "takeover", "runs"),
+    [(HANDOVER_S - 0.1, False, True), (HANDOVER_S, False, False), (HANDOVER_S, True, True)],
+)
+def test_group_that_is_handed_over_is_served_for_a_while(after_s, takeover, runs):
+    fleet = ListedFleet("a1")
+    held = HeldGroups("a1", fleet)
+    held.review(GROUPS, DOCUMENT, 0.0)
+    fleet.names = ("a2",)
+    held.review(GROUPS, DOCUMENT, 10.0)
+    assert held.asked(GROUP, 10.0 + after_s, takeover=takeover) == runs
+
+
+def test_takeover_is_held_until_nobody_asks():
+    held = HeldGroups("a1", ListedFleet("a2"))
+    held.review(GROUPS, DOCUMENT, 0.0)
+    assert not held.asked(GROUP, 0.0, takeover=False)
+    assert held.asked(GROUP, 0.0, takeover=True)
+    assert held.asked(GROUP, 5.0, takeover=False)
+    assert held.expired(5.0 + TAKEOVER_S - 0.1) == []
+    assert held.expired(5.0 + TAKEOVER_S) == [GROUP]
