--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -102,8 +102,11 @@
     return Fault(at_s, f"{role} {host} is killed and started again", act)
 
 
-def roll(at_s: float, role: str) -> Fault:
-    """Restart every process of a role by a planned stop, one in each zone at a time."""
+def roll(at_s: float, role: str, *, waits: bool = True) -> Fault:
+    """Restart every process of a role by a planned stop, one in each zone at a time.
+
+    :param waits: whether the next ones are stopped only once the new ones are known
+    """
 
     async def act(fleet: MeasuredFleet, notes: dict[str, object]) -> None:
         codes = notes.setdefault("exit_codes", [])
@@ -111,7 +114,9 @@
         for number in range(per_zone):
             hosts = fleet.hosts[number::per_zone]
             codes.extend(
-                await asyncio.gather(*(fleet.restart_process(role, host) for host in hosts))
+                await asyncio.gather(
+                    *(fleet.restart_process(role, host, waits=waits) for host in hosts)
+                )
             )
 
     return Fault(at_s, f"rolling restart of every {role}", act)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -214,10 +214,11 @@
         """Send a signal to one process."""
         os.kill(self.processes[role, host.address].pid, number)
 
-    async def restart_process(self, role: str, host: HostEntry) -> int:
+    async def restart_process(self, role: str, host: HostEntry, *, waits: bool = True) -> int:
         """Restart a process as an operator does and return its exit code.
 
-        Returns once every process that answers takes the new one for alive.
+        :param waits: whether to return only once every process that answers takes the new one
+            for alive
         """
         process = self.processes[role, host.address]
         process.terminate()
@@ -225,7 +226,8 @@
         await self.start_process(role, host)
         if role == "entry":
             await self.wait_ready(host)
-        await self._wait_alive(f"{role}@{host.address}")
+        if waits:
+            await self._wait_alive(f"{role}@{host.address}")
         return code
 
     async def _wait_alive(self, member_name: str) -> None:
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -219,6 +219,24 @@
         figures=figures.rolling,
         targets=(Target("failed", at_most=0), Target("coverage.min", at_least=1.0)),
     ),
+    Scenario(
+        name="hasty-restart",
+        purpose="the same, where nobody waits until the new aggregators are known",
+        steps=(
+            Step(
+                shape=replace(QUBYR_HABAR, groups=8),
+                streams=(Stream(rate_per_s=30.0),),
+                duration_s=40.0,
+            ),
+        ),
+        faults=(
+            faults.roll(1.0, "aggregator", waits=False),
+            faults.roll(1.0, "entry", waits=False),
+        ),
+        policies=(FIGHINGE,),
+        figures=figures.rolling,
+        targets=(Target("failed", at_most=0), Target("coverage.min", at_least=1.0)),
+    ),
     Scenario(
         name="control-cost",
         purpose="processor time, memory and bytes of control against the number of processes",
