Pass no request on once a stopping router closes its connections

Change: the router waits for a quarter of a second without any request, then passes nothing on any more, then closes.

Measured: tests/router/test_http_server.py fails before, passes after.

--- a/fighinge/platform/words.py
+++ b/fighinge/platform/words.py
@@ -135,7 +135,10 @@
         headers: Headers = (("Content-Type", "text/plain; charset=utf-8"),)
         if retry_after_s is not None:
             headers += (("Retry-After", f"{retry_after_s:.2f}"),)
-        return Answer(status, headers, f"{failure.kind.value}: {failure.reason}\n".encode())
+        subject = f"{failure.field} " if failure.field else ""
+        return Answer(
+            status, headers, f"{failure.kind.value}: {subject}{failure.reason}\n".encode()
+        )
 
 
 def _patience_s(text: str | None) -> float | Failure:
--- a/fighinge/router/http_server.py
+++ b/fighinge/router/http_server.py
@@ -20,6 +20,7 @@
     from fighinge.router.service import RouterService
 
 IDLE_MARGIN_S = 1.0  # a caller may use a connection until the last moment of the idle limit
+QUIET_S = 0.25  # a request that was sent before its caller could see the close has arrived
 MAX_HEADER_BYTES = 65_536  # the operators' limit is checked once the configuration is known
 MAX_BODY_BYTES = 8 * 1024 * 1024  # as above
 
@@ -33,6 +34,8 @@
         self.clock = clock
         self._tasks: set[asyncio.Task] = set()
         self.is_stopping = False
+        self._is_closing = False
+        self._was_quiet = True
         self._server = HTTPServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
@@ -65,12 +68,24 @@
         """Refuse new connections."""
         self._server.stop()
 
-    async def all_answered(self, within_s: float) -> bool:
-        """Wait until no request is without an answer, and return whether that came to pass."""
-        if not self._tasks:
-            return True
-        _, unanswered = await asyncio.wait(self._tasks, timeout=max(0.0, within_s))
-        return not unanswered
+    async def quiet(self, within_s: float) -> bool:
+        """Wait until no request was without an answer for a while, and return whether that was.
+
+        Callers go on with open connections until they have had an answer on each.
+        """
+        end_s = self.clock() + within_s
+        while self.clock() < end_s:
+            if self._tasks:
+                await asyncio.wait(self._tasks, timeout=end_s - self.clock())
+            self._was_quiet = True
+            await asyncio.sleep(min(QUIET_S, max(0.0, end_s - self.clock())))
+            if self._was_quiet and not self._tasks:
+                return True
+        return False
+
+    def refuse_requests(self) -> None:
+        """Pass no request on any longer: their connections close without an answer."""
+        self._is_closing = True
 
     async def close(self) -> None:
         """Close every connection."""
@@ -91,6 +106,10 @@
         received_s: float,
     ) -> None:
         """Answer a request that was read."""
+        if self._is_closing:
+            connection.close()
+            return
+        self._was_quiet = False
         task = asyncio.create_task(self._answer(connection, start_line, headers, body, received_s))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -54,12 +54,13 @@
     async def _reply_or_leave(
         self, reader: asyncio.StreamReader, head: bytes, writer: asyncio.StreamWriter
     ) -> bool:
-        """Reply, unless the caller closes the connection first."""
+        """Reply, unless the caller closes the connection first; it sends nothing meanwhile."""
         reply = asyncio.ensure_future(self.reply(head, writer))
-        leave = asyncio.ensure_future(_closed(reader))
+        leave = asyncio.ensure_future(reader.read(1))
         await asyncio.wait({reply, leave}, return_when=asyncio.FIRST_COMPLETED)
-        leave.cancel()
         if reply.done():
+            leave.cancel()
+            await asyncio.gather(leave, return_exceptions=True)
             return reply.result()
         reply.cancel()
         self.closed_by_caller += 1
@@ -82,11 +83,5 @@
     return ""
 
 
-async def _closed(reader: asyncio.StreamReader) -> None:
-    """Return when the caller closes; it sends nothing before the response."""
-    while not reader.at_eof():
-        await asyncio.sleep(0.005)
-
-
 def _length(head: bytes) -> int:
     return int(header(head, "Content-Length") or 0)
--- a/tests/router/test_gather.py
+++ b/tests/router/test_gather.py
@@ -97,12 +97,12 @@
 
 
 def test_refusing_servers_are_left_for_others():
-    answered, parts, _ = _ask(lambda parts: parts.calls.script("s0-0", (0.001, refusal())))
+    answered, _, _ = _ask(lambda parts: parts.calls.script("s0-0", (0.001, refusal())))
     assert dict(answered.headers)["X-Missing-Parts"] == "0"
 
 
 def test_unreachable_server_costs_no_budget():
-    answered, parts, _ = _ask(
+    answered, _, _ = _ask(
         lambda parts: parts.calls.script("s0-0", (0.001, REFUSED)), slack=0.0, share=0.0
     )
     assert dict(answered.headers)["X-Missing-Parts"] == "0"
--- /dev/null
+++ b/tests/router/test_http_server.py
@@ -0,0 +1,143 @@
+"""Tests of the listener for callers, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tornado.testing import bind_unused_port
+
+from fighinge.platform.words import PlatformCodec
+from fighinge.router.http_server import QUIET_S, CallerServer
+from tests.router.builders import RouterParts, route, table
+from tests.router.builders import entry as backend_entry
+
+REQUEST = (
+    b"GET /single/x?y=%2F HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: r1\r\n"
+    b"X-Deadline-Ms: 2000\r\n\r\n"
+)
+
+
+def _serve(work, call_s=0.02, **changes):
+    async def run():
+        parts = RouterParts()
+        parts.publish(table(route(**changes)), backend_entry("i1"))
+        parts.calls.default_s = call_s
+        server = CallerServer(parts.service, PlatformCodec(), parts.clock)
+        listener, port = bind_unused_port()
+        listener.close()
+        server.listen(port, "127.0.0.1")
+        try:
+            return await work(server, port, parts)
+        finally:
+            server.stop_listening()
+            await server.close()
+
+    return asyncio.run(run())
+
+
+async def _connect(port):
+    return await asyncio.open_connection("127.0.0.1", port)
+
+
+async def _read_response(reader):
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+    lines = head.decode().split("\r\n")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines[1:] if line)
+    }
+    body = await reader.readexactly(int(headers["content-length"]))
+    return lines[0], headers, body
+
+
+def test_connection_serves_several_requests():
+    async def work(server, port, parts):
+        reader, writer = await _connect(port)
+        statuses = []
+        for _ in range(3):
+            writer.write(REQUEST)
+            status, headers, body = await _read_response(reader)
+            statuses.append(status)
+            assert headers["x-server-stamp"] == "sig-i1"
+            assert body == b"record-000000001"
+        writer.close()
+        return statuses
+
+    assert _serve(work) == ["HTTP/1.1 200 OK"] * 3
+
+
+def test_caller_that_leaves_ends_the_call_at_the_backend_server():
+    async def work(server, port, parts):
+        _, writer = await _connect(port)
+        writer.write(REQUEST)
+        await asyncio.sleep(0.1)
+        assert len(parts.calls.sent) == 1
+        writer.close()
+        await asyncio.sleep(0.1)
+        return parts.calls.broken_off["i1"], parts.log.events()
+
+    broken_off, events = _serve(work, call_s=1.0)
+    assert broken_off == 1
+    assert "caller left" in events
+
+
+def test_leaving_router_answers_and_asks_callers_to_go():
+    async def work(server, port, parts):
+        reader, writer = await _connect(port)
+        writer.write(REQUEST)
+        await asyncio.sleep(0.05)
+        server.leave()
+        first = await _read_response(reader)
+        reader2, writer2 = await _connect(port)
+        writer2.write(REQUEST)
+        second = await _read_response(reader2)
+        for opened in (writer, writer2):
+            opened.close()
+        return first, second
+
+    for status, headers, _ in _serve(work, call_s=0.1):
+        assert status == "HTTP/1.1 200 OK"
+        assert headers["connection"] == "close"
+
+
+def test_request_sent_while_the_router_waits_for_quiet_is_answered():
+    async def work(server, port, parts):
+        reader, writer = await _connect(port)
+        await asyncio.sleep(0.02)
+        server.leave()
+        server.stop_listening()
+        waiting = asyncio.create_task(server.quiet(3.0))
+        await asyncio.sleep(QUIET_S / 2)
+        writer.write(REQUEST)
+        status, _, _ = await _read_response(reader)
+        was_answered_first = not waiting.done()
+        assert await waiting
+        writer.close()
+        return status, was_answered_first
+
+    assert _serve(work, call_s=0.2) == ("HTTP/1.1 200 OK", True)
+
+
+def test_request_after_the_end_is_not_passed_on():
+    async def work(server, port, parts):
+        reader, writer = await _connect(port)
+        server.refuse_requests()
+        writer.write(REQUEST)
+        left = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+        return left, parts.calls.sent
+
+    assert _serve(work) == (b"", [])
+
+
+def test_bad_request_is_refused_with_the_field():
+    async def work(server, port, parts):
+        reader, writer = await _connect(port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        status, _, body = await _read_response(reader)
+        writer.close()
+        return status, body
+
+    status, body = _serve(work)
+    assert status.startswith("HTTP/1.1 400")
+    assert b"X-Request-Id" in body
--- a/tests/router/test_service_call.py
+++ b/tests/router/test_service_call.py
@@ -55,7 +55,7 @@
 def test_slow_call_gets_one_hedge_and_the_loser_is_broken_off():
     answered, parts = _ask((1.0, answer()))
     assert answered.status == 200
-    assert [name for name, _ in parts.calls.sent][0] == "i1"
+    assert parts.calls.sent[0][0] == "i1"
     assert len(parts.calls.sent) == 2
     assert parts.calls.broken_off["i1"] == 1
 
