--- /dev/null
+++ b/standins/shard_server.py
@@ -0,0 +1,174 @@
+"""A stand-in for the users' backend servers: slots, a queue, identity and records of what ran."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections import Counter
+
+import msgspec
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+
+RECORDS = 20
+RECORD_BYTES = 16
+
+
+class Run(msgspec.Struct, frozen=True):
+    """A request that a backend server began to work on."""
+
+    request_id: str
+    instance_id: str
+    service: str
+    method: str
+    target: str
+    body: bytes
+    at_s: float
+
+
+class ShardServer(httputil.HTTPServerConnectionDelegate):
+    """One process of a backend server; ``runs`` is shared by all servers of a fleet.
+
+    ``fault`` is empty, ``lose`` (the run's answer is a reset), ``error`` or ``shed``.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        service: str,
+        runs: list[Run],
+        *,
+        zone: str = "z1",
+        slots: int = 4,
+        queue: int = 12,
+        work_s: float = 0.005,
+        started_ms: int = 1,
+    ) -> None:
+        self.instance_id = instance_id
+        self.service = service
+        self.zone = zone
+        self.work_s = work_s
+        self.slots = slots
+        self.started_ms = started_ms
+        self.fault = ""
+        self.fault_every = 1
+        self.running: Counter[str] = Counter()
+        self.peak_connections = 0
+        self.port = 0
+        self.host = ""
+        self._queue = queue
+        self._free = asyncio.Semaphore(slots)
+        self._waiting = 0
+        self._requests = 0
+        self._runs = runs
+        self._server = HTTPServer(self)
+
+    def start(self, port: int, host: str = "127.0.0.1") -> None:
+        """Listen."""
+        self.port, self.host = port, host
+        self._server.listen(port, host)
+
+    async def stop(self) -> None:
+        """Refuse new connections and drop the open ones."""
+        self._server.stop()
+        for connection in list(self._server._connections):
+            connection.stream.close()
+
+    def entry(self, state: str = "ready") -> dict:
+        """Return what the server writes to the store."""
+        return {
+            "service": self.service,
+            "address": f"{self.host}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "cold-left-ms": 0,
+            "seq": 1,
+            "born": self.started_ms,
+        }
+
+    def start_request(self, server_conn, request_conn) -> httputil.HTTPMessageDelegate:
+        """Begin to read a request; called by tornado."""
+        self.peak_connections = max(self.peak_connections, len(self._server._connections))
+        return _Reading(self, request_conn)
+
+    async def serve(self, connection, start_line, headers, body: bytes) -> None:
+        """Refuse or run a request, and answer."""
+        request_id = headers.get("X-Request-Id", "")
+        if headers.get("X-Expect-Instance", self.instance_id) != self.instance_id:
+            return self._write(connection, 421, {"X-Instance-Id": self.instance_id}, b"")
+        self._requests += 1
+        has_fault = self.fault and self._requests % self.fault_every == 0
+        if self._waiting >= self._queue or (has_fault and self.fault == "shed"):
+            return self._write(connection, 503, {"X-Not-Executed": "1"}, b"")
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            self._note(request_id, start_line, body)
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running[request_id] -= 1
+            self._free.release()
+        if has_fault and self.fault == "lose":
+            connection.stream.close()
+            return None
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Server-Stamp": f"{self.instance_id}.{request_id}",
+            "X-Server-Load": f"{self.slots},{self._waiting},{self.slots}",
+        }
+        if has_fault and self.fault == "error":
+            return self._write(connection, 500, headers, b"failed")
+        return self._write(connection, 200, headers, records(self.service))
+
+    def _note(self, request_id: str, start_line, body: bytes) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.running[request_id] += 1
+        run = Run(
+            request_id,
+            self.instance_id,
+            self.service,
+            start_line.method,
+            start_line.path,
+            body,
+            now_s,
+        )
+        self._runs.append(run)
+
+    def _write(self, connection, status: int, headers: dict[str, str], body: bytes) -> None:
+        if connection.stream is None or connection.stream.closed():
+            return
+        sent = httputil.HTTPHeaders({**headers, "Content-Length": str(len(body))})
+        reason = httputil.responses[status]
+        connection.write_headers(httputil.ResponseStartLine("HTTP/1.1", status, reason), sent, body)
+        connection.finish()
+
+
+class _Reading(httputil.HTTPMessageDelegate):
+    def __init__(self, server: ShardServer, connection) -> None:
+        self._server = server
+        self._connection = connection
+        self._body = b""
+
+    def headers_received(self, start_line, headers) -> None:
+        self._start_line, self._headers = start_line, headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self._body += chunk
+
+    def finish(self) -> None:
+        work = self._server.serve(self._connection, self._start_line, self._headers, self._body)
+        task = asyncio.ensure_future(work)
+        self._connection.set_close_callback(task.cancel)
+
+
+def records(service: str) -> bytes:
+    """Return a shard's records, in no order."""
+    return b"".join(
+        hashlib.blake2b(f"{service}/{number}".encode(), digest_size=RECORD_BYTES).digest()
+        for number in range(RECORDS)
+    )
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,165 @@
+"""A stand-in for the users' platform store: items with revisions, pages, watches and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+PAGE_ITEMS = 50
+
+
+class StandinStore:
+    """Holds items; ``fault`` is what readers meet: none, ``busy``, ``silent`` or ``reset``.
+
+    ``refused_callers`` are the addresses that get the fault; all do where it is empty.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 100
+        self.fault = ""
+        self.refused_callers: set[str] = set()
+        self.calls: list[str] = []
+        self._items: dict[str, tuple[int, bytes]] = {}
+        self._events: list[dict] = []
+        self._forgotten = self.revision
+        self._changed = asyncio.Condition()
+        self._server: HTTPServer | None = None
+
+    def start(self, port: int, host: str = "127.0.0.1") -> None:
+        """Listen for readers."""
+        routes = [
+            ("/v1/kv-range", _RangeHandler, {"store": self}),
+            ("/v1/kv-watch", _WatchHandler, {"store": self}),
+        ]
+        self._server = Application(routes, log_function=lambda _: None).listen(port, host)
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    async def put(self, key: str, value: object) -> int:
+        """Write an item and return its revision; bytes are written as they are."""
+        self.revision += 1
+        raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self._items[key] = (self.revision, raw)
+        await self._tell(_item(key, self.revision, raw))
+        return self.revision
+
+    async def delete(self, key: str) -> None:
+        """Remove an item."""
+        if self._items.pop(key, None) is None:
+            return
+        self.revision += 1
+        await self._tell({"key": key, "revision": self.revision, "deleted": True})
+
+    async def forget_history(self) -> None:
+        """Drop the history, so that older revisions can no longer be watched."""
+        self._events.clear()
+        self._forgotten = self.revision
+        async with self._changed:
+            self._changed.notify_all()
+
+    def page(self, prefix: str, after: str) -> dict:
+        """Return the items after a key."""
+        keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
+        items = [_item(key, *self._items[key]) for key in keys[:PAGE_ITEMS]]
+        return {
+            "items": items,
+            "has-more": len(keys) > PAGE_ITEMS,
+            "store-revision": self.revision,
+        }
+
+    async def changes(self, prefix: str, after: int, wait_s: float) -> dict | None:
+        """Return the events after a revision, none where the history is gone."""
+        deadline_s = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if after < self._forgotten:
+                return None
+            events = [
+                event
+                for event in self._events
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+            left_s = deadline_s - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                return {"events": events, "store-revision": self.revision}
+            async with self._changed:
+                try:
+                    await asyncio.wait_for(self._changed.wait(), left_s)
+                except TimeoutError:
+                    continue
+
+    def fault_for(self, caller: str) -> str:
+        """Return what a caller meets."""
+        if self.refused_callers and caller not in self.refused_callers:
+            return ""
+        return self.fault
+
+    async def _tell(self, event: dict) -> None:
+        self._events.append(event)
+        async with self._changed:
+            self._changed.notify_all()
+
+
+def _item(key: str, revision: int, raw: bytes) -> dict:
+    value = base64.b64encode(raw).decode()
+    return {"key": key, "value": value, "revision": revision, "created": revision, "lease": 0}
+
+
+class _Handler(RequestHandler):
+    def initialize(self, store: StandinStore) -> None:
+        self.store = store
+
+    async def meets_fault(self) -> bool:
+        """Play the fault of this caller, if it meets one."""
+        self.store.calls.append(self.request.path)
+        fault = self.store.fault_for(self.request.remote_ip)
+        if fault == "busy":
+            self.set_status(503)
+            self.finish()
+        elif fault == "silent":
+            await asyncio.sleep(3600)
+        elif fault == "reset":
+            self.request.connection.stream.close()
+        return bool(fault)
+
+    def answer(self, content: dict) -> None:
+        """Finish with JSON, unless the caller has left."""
+        self.set_header("Content-Type", "application/json")
+        try:
+            self.finish(msgspec.json.encode(content))
+        except StreamClosedError:
+            return
+
+
+class _RangeHandler(_Handler):
+    async def get(self) -> None:
+        if await self.meets_fault():
+            return
+        self.answer(
+            self.store.page(self.get_query_argument("prefix"), self.get_query_argument("after", ""))
+        )
+
+
+class _WatchHandler(_Handler):
+    async def get(self) -> None:
+        if await self.meets_fault():
+            return
+        changes = await self.store.changes(
+            self.get_query_argument("prefix"),
+            int(self.get_query_argument("after")),
+            int(self.get_query_argument("wait-ms")) / 1000,
+        )
+        if await self.meets_fault():
+            return
+        if changes is None:
+            self.set_status(410)
+            self.finish()
+            return
+        self.answer(changes)
--- /dev/null
+++ b/tests/platform/fleet.py
@@ -0,0 +1,261 @@
+"""A small fleet of router processes between a stand-in store, backend servers and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from standins.shard_server import Run, ShardServer
+from standins.store import StandinStore
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+ZONES = ("z1", "z2", "z3")
+SHARDS = 4
+REPLICAS = 3
+FRONT_PORT, READY_PORT, ADDRESS_PORT, CONTROL_PORT = 8226, 8227, 8225, 8224
+GOSSIP_PORT = 7740
+BACKEND_PORT = 9100
+START_LIMIT_S = 15.0
+CALL_LIMIT_S = 5.0
+HOST = "search.example"
+GRACE_S = 6
+POLL_S = 0.03
+
+
+class Reply(msgspec.Struct):
+    """What a caller got; status 0 where the connection ended without a complete answer."""
+
+    status: int
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    was_refused: bool = False
+
+
+class RouterFleet:
+    """Router processes on loopback addresses of a network of their own."""
+
+    def __init__(self, directory: Path, network: int, routers: int = 2) -> None:
+        self.directory = directory
+        self.network = network
+        self.runs: list[Run] = []
+        self.store = StandinStore()
+        self.servers: list[ShardServer] = []
+        self.processes: dict[int, subprocess.Popen] = {}
+        self.version = 0
+        self._routers = routers
+        self._ids = itertools.count(1)
+        self._instances = itertools.count(1)
+
+    def address(self, number: int) -> str:
+        """Return the address of a router."""
+        return f"127.{self.network}.{number % len(ZONES) + 1}.{number + 1}"
+
+    async def start(self) -> None:
+        """Start everything and wait until each router is ready."""
+        self.store.start(8229, f"127.{self.network}.9.1")
+        for shard in range(SHARDS):
+            for replica in range(REPLICAS):
+                await self.add_server(f"shard{shard}", ZONES[replica])
+        for zone in ZONES:
+            await self.add_server("single", zone)
+        await self.configure()
+        for number in range(self._routers):
+            self.start_router(number)
+        for number in range(self._routers):
+            await self.ready(number)
+
+    async def stop(self) -> None:
+        """Kill the routers and stop the stand-ins."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+
+    async def add_server(self, service: str, zone: str, **changes) -> ShardServer:
+        """Start a backend server and write its entry."""
+        number = next(self._instances)
+        server = ShardServer(f"i-{number:03}", service, self.runs, zone=zone, **changes)
+        server.start(BACKEND_PORT + number, f"127.{self.network}.8.1")
+        self.servers.append(server)
+        await self.store.put(f"servers/{server.instance_id}", server.entry())
+        return server
+
+    async def configure(self, **changes) -> int:
+        """Publish the next version of the configuration and return it."""
+        self.version += 3
+        shards = [f"shard{number}" for number in range(SHARDS)]
+        common = {"host": HOST, "timeout-ms": 2000, "latency-target-ms": 300, "max-attempts": 2}
+        routes = [
+            common
+            | {"name": "all", "prefix": "/all/", "kind": "idempotent", "gather": shards}
+            | {"top-k": 5, "min-coverage": 0.75},
+            common | {"name": "one", "prefix": "/one/", "kind": "idempotent", "service": "single"},
+            common
+            | {"name": "once", "prefix": "/once/", "kind": "non_idempotent", "service": "single"},
+            *changes.get("routes", ()),
+        ]
+        services = [{"name": name, "max-conns": 36} for name in [*shards, "single"]]
+        config = {"version": self.version, "routes": routes, "services": services, "limits": {}}
+        await self.store.put("op/config", config)
+        return self.version
+
+    def start_router(self, number: int) -> None:
+        """Start a router process; its output goes to a file of its own."""
+        address = self.address(number)
+        settings = {
+            "node-name": f"front-{number}",
+            "ip": address,
+            "zone": ZONES[number % len(ZONES)],
+            "region": "r",
+            "zones": dict.fromkeys(ZONES, "r"),
+            "listen": {
+                "front": f"{address}:{FRONT_PORT}",
+                "ready": f"{address}:{READY_PORT}",
+                "directory": f"{address}:{ADDRESS_PORT}",
+                "control": f"{address}:{CONTROL_PORT}",
+            },
+            "internal-port-range": [GOSSIP_PORT, GOSSIP_PORT + 15],
+            "seeds": [f"{self.address(seed)}:{CONTROL_PORT}" for seed in range(3)],
+            "bounds": {"grace-s": GRACE_S, "budget-slack": 56, "retry-budget-ratio": 0.2},
+            "platform": {"address": f"127.{self.network}.9.1:8229"},
+        }
+        path = self.directory / f"node-{number}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        with open(self.directory / f"router-{number}.log", "ab") as output:
+            self.processes[number] = subprocess.Popen(
+                [sys.executable, "-m", "fighinge.platform", "--settings-file", str(path)],
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, number: int, what: signal.Signals) -> None:
+        """Send a signal to a router process that this fleet started."""
+        self.processes[number].send_signal(what)
+
+    async def ready(self, number: int) -> None:
+        """Wait until a router says that it is ready.
+
+        :raises TimeoutError: if that takes too long
+        """
+
+        async def is_ready() -> bool:
+            return (await self.get(number, READY_PORT, "/v1/ready")).status == 200
+
+        await until(is_ready, START_LIMIT_S)
+
+    async def exited(self, number: int, within_s: float) -> int:
+        """Return a router's exit code.
+
+        :raises TimeoutError: if it runs on
+        """
+
+        async def has_exited() -> bool:
+            return self.processes[number].poll() is not None
+
+        await until(has_exited, within_s)
+        return self.processes[number].returncode
+
+    def lines(self, number: int) -> list[dict]:
+        """Return a router's log."""
+        path = self.directory / f"router-{number}.log"
+        return [msgspec.json.decode(line) for line in path.read_bytes().splitlines()]
+
+    async def addresses(self, number: int, zone: str = "z1") -> list[str]:
+        """Ask a router for addresses."""
+        reply = await self.get(number, ADDRESS_PORT, f"/v1/resolve?name=h&region=r&zone={zone}")
+        return msgspec.json.decode(reply.body)["addrs"]
+
+    async def get(self, number: int, port: int, path: str) -> Reply:
+        """Send a request of the platform to a router."""
+        connection = CallerConnection(self.address(number), port)
+        try:
+            return await connection.send(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+        finally:
+            connection.close()
+
+    def request(
+        self, path: str, *, method: str = "GET", body: bytes = b"", patience_ms: int = 2000
+    ):
+        """Return a new request's identifier and its bytes."""
+        request_id = f"r{next(self._ids):06}"
+        head = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Request-Id: {request_id}",
+            f"X-Deadline-Ms: {patience_ms}",
+            f"Content-Length: {len(body)}",
+        ]
+        return request_id, "\r\n".join([*head, "", ""]).encode() + body
+
+    async def ask(self, number: int, path: str, **changes) -> tuple[str, Reply]:
+        """Send a caller's request on a new connection."""
+        request_id, data = self.request(path, **changes)
+        connection = CallerConnection(self.address(number), FRONT_PORT)
+        try:
+            return request_id, await connection.send(data)
+        finally:
+            connection.close()
+
+
+async def until(condition: Callable[[], Awaitable[bool]], within_s: float) -> None:
+    """Wait until a condition holds.
+
+    :raises TimeoutError: if it does not hold in time
+    """
+    end_s = asyncio.get_running_loop().time() + within_s
+    for _ in range(int(within_s / POLL_S) + 1):
+        if await condition():
+            return
+        if asyncio.get_running_loop().time() >= end_s:
+            break
+        await asyncio.sleep(POLL_S)
+    raise TimeoutError(f"not met within {within_s} s")
+
+
+class CallerConnection:
+    """A caller's connection, opened with the first request and kept."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host, self._port = host, port
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def send(self, data: bytes) -> Reply:
+        """Send a request and return what came back."""
+        try:
+            async with asyncio.timeout(CALL_LIMIT_S):
+                if self._streams is None:
+                    self._streams = await asyncio.open_connection(self._host, self._port)
+                reader, writer = self._streams
+                writer.write(data)
+                return await _read(reader)
+        except ConnectionRefusedError:
+            return Reply(0, was_refused=True)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            self.close()
+            return Reply(0)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
+
+
+async def _read(reader: asyncio.StreamReader) -> Reply:
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    pairs = (line.partition(":") for line in lines[1:] if line)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Reply(int(lines[0].split(" ")[1]), headers, body)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,133 @@
+"""Tests of the client of the platform's store and of following it, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from tornado.testing import bind_unused_port
+
+from fighinge.errors import Failure
+from fighinge.platform.records import OPERATOR_PREFIX, SERVERS_PREFIX
+from fighinge.platform.store import PlatformStore
+from fighinge.router.changes import HistoryLost, ZoneEvacuated
+from fighinge.router.follower import Follower
+from fighinge.router.view import Topic, View
+from standins.store import PAGE_ITEMS, StandinStore
+from tests.platform.test_records import SERVER
+from tests.router.builders import MemoryLog
+
+
+def _run(work, prefix=SERVERS_PREFIX):
+    async def run():
+        store = StandinStore()
+        listener, port = bind_unused_port()
+        listener.close()
+        store.start(port)
+        client = PlatformStore.from_address(f"127.0.0.1:{port}", prefix)
+        try:
+            return await work(store, client)
+        finally:
+            client.close()
+            await store.stop()
+
+    return asyncio.run(run())
+
+
+async def _until(condition, within_s=5.0):
+    for _ in range(int(within_s / 0.01)):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("the condition was not met in time")
+
+
+def test_all_pages_are_read():
+    async def work(store, client):
+        for number in range(2 * PAGE_ITEMS + 7):
+            await store.put(f"servers/i-{number:04}", SERVER)
+        return await client.read_all()
+
+    snapshot = _run(work)
+    assert len(snapshot.changes) == 2 * PAGE_ITEMS + 7
+
+
+def test_watch_returns_changes_and_the_revision_to_go_on_from():
+    async def work(store, client):
+        snapshot = await client.read_all()
+        await store.put("op/evacuate/z1", {})
+        changes = await client.watch(snapshot.revision, 1.0)
+        return changes, store.revision
+
+    changes, revision = _run(work, OPERATOR_PREFIX)
+    assert changes.changes == (ZoneEvacuated("z1"),)
+    assert changes.revision == revision
+
+
+def test_lost_history_is_told():
+    async def work(store, client):
+        revision = store.revision
+        await store.put("op/evacuate/z1", {})
+        await store.forget_history()
+        return await client.watch(revision, 1.0)
+
+    assert isinstance(_run(work, OPERATOR_PREFIX), HistoryLost)
+
+
+@pytest.mark.parametrize("fault", ["busy", "reset"])
+def test_store_that_refuses_is_a_failure(fault):
+    async def work(store, client):
+        store.fault = fault
+        return await client.read_all(), await client.watch(100, 0.1)
+
+    for result in _run(work):
+        assert isinstance(result, Failure)
+
+
+def _follow(work):
+    async def run(store, client):
+        view = View(MemoryLog())
+        clock = asyncio.get_running_loop().time
+        follower = Follower(client, Topic.BACKENDS, view, clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        try:
+            return await work(store, view)
+        finally:
+            task.cancel()
+
+    return _run(run)
+
+
+def test_follower_takes_what_changes_and_what_was_forgotten_meanwhile():
+    async def work(store, view):
+        await store.put("servers/i-1", SERVER)
+        await _until(lambda: "i-1" in view.backends)
+        await store.put("servers/i-2", SERVER)
+        await _until(lambda: "i-2" in view.backends)
+        await store.delete("servers/i-1")
+        await _until(lambda: "i-1" not in view.backends)
+        await store.put("servers/i-3", SERVER)
+        await store.forget_history()
+        await _until(lambda: set(view.backends) == {"i-2", "i-3"})
+        await store.put("servers/i-2", b"\xff")
+        await _until(lambda: set(view.backends) == {"i-3"})
+        return True
+
+    assert _follow(work)
+
+
+@pytest.mark.parametrize("fault", ["busy", "reset"])
+def test_follower_is_in_contact_again_soon_after_an_outage(fault):
+    async def work(store, view):
+        await store.put("servers/i-1", SERVER)
+        await _until(lambda: view.is_in_contact(Topic.BACKENDS))
+        store.fault = fault
+        await store.put("servers/i-2", SERVER)
+        await _until(lambda: not view.is_in_contact(Topic.BACKENDS))
+        store.fault = ""
+        await _until(lambda: view.is_in_contact(Topic.BACKENDS), 2.0)
+        await _until(lambda: "i-2" in view.backends)
+        return True
+
+    assert _follow(work)
