Refuse requests that crash backend servers, by what all routers have found

Cause: a request that crashes its servers comes again at any router; nothing counted.

Change: router/crash_suspects.py counts attempts whose server refuses connections right after the loss; three over all routers (facts by gossip) put the fingerprint in quarantine.

--- a/fighinge/platform/words.py
+++ b/fighinge/platform/words.py
@@ -132,6 +132,8 @@
         status = meaning.http_status
         if status in (408, 421, 429, 503) and not meaning.not_run:
             status = 502
+        if failure.kind is ErrorKind.QUARANTINED:
+            status = 502  # a 4xx would tell the caller that the request is not proper
         headers: Headers = (("Content-Type", "text/plain; charset=utf-8"),)
         if retry_after_s is not None:
             headers += (("Retry-After", f"{retry_after_s:.2f}"),)
--- a/fighinge/router/attempts.py
+++ b/fighinge/router/attempts.py
@@ -7,6 +7,7 @@
 
 from fighinge.aggregator.base import CallFailure, CallFault
 from fighinge.errors import Failure
+from fighinge.router.crash_suspects import fingerprint_of
 from fighinge.router.exchange import BackendResponse
 
 if TYPE_CHECKING:
@@ -14,6 +15,7 @@
 
     from fighinge.router.backend import Backend
     from fighinge.router.backend_calls import BackendCalls
+    from fighinge.router.crash_suspects import CrashSuspects
     from fighinge.router.exchange import CallerRequest, Codec
     from fighinge.router.typical import TypicalTimes
 
@@ -23,19 +25,21 @@
 class Attempts:
     """Sends requests to chosen backend servers and tells their condition what came of it."""
 
-    __slots__ = ("_calls", "_clock", "_codec", "typical")
+    __slots__ = ("_calls", "_clock", "_codec", "suspects", "typical")
 
     def __init__(
         self,
         calls: BackendCalls,
         codec: Codec,
         typical: TypicalTimes,
+        suspects: CrashSuspects,
         clock: Callable[[], float],
     ) -> None:
         self._calls = calls
         self._codec = codec
         self._clock = clock
         self.typical = typical
+        self.suspects = suspects
 
     async def run(
         self,
@@ -72,6 +76,18 @@
                 result = decoded
         now_s = self._clock()
         backend.ended(number, result, now_s)
+        self._note_crash(request, backend.entry.instance_id, result, now_s)
         if isinstance(result, BackendResponse) and result.is_success:
             self.typical.observe(kind, now_s - started_s)
         return result
+
+    def _note_crash(
+        self, request: CallerRequest, instance_id: str, result: CallEnd, now_s: float
+    ) -> None:
+        if not isinstance(result, CallFailure):
+            self.suspects.answered(instance_id)
+        elif result.fault is CallFault.CONNECTION_LOST:
+            fingerprint = fingerprint_of(request)
+            self.suspects.lost(instance_id, fingerprint, request.request_id, now_s)
+        elif result.fault is CallFault.NOT_CONNECTED:
+            self.suspects.refused(instance_id, now_s)
--- /dev/null
+++ b/fighinge/router/crash_suspects.py
@@ -0,0 +1,92 @@
+"""Requests that crash the backend servers that run them, recognised over all routers."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fighinge.facts import Fact, FactKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fighinge.facts import FactBoard
+    from fighinge.router.exchange import CallerRequest
+
+CRASHES_TO_QUARANTINE = 3  # a caller's own repeat after one crash of a server is not enough
+CONFIRM_WITHIN_S = 3.0  # a lost connection and a refused one further apart are two events
+REMEMBER_S = 60.0  # such a request comes again within seconds
+QUARANTINE_S = 120.0  # twice as long, so that its next round finds it refused
+MAX_FINGERPRINTS = 10_000  # a megabyte
+
+
+class _Loss(msgspec.Struct):
+    """A call that was lost with its connection, not known to be a crash."""
+
+    fingerprint: str
+    request_id: str
+    at_s: float
+
+
+class CrashSuspects:
+    """Counts, for each fingerprint, the callers' attempts that took a server with them.
+
+    A lost connection alone proves nothing: the server's next answer clears the request, and only
+    a server that then refuses connections has crashed. Attempts are counted and not servers, since
+    one attempt asks many shards at once and loses many servers when a data centre goes.
+    """
+
+    __slots__ = ("_board", "_losses", "_on_quarantine")
+
+    def __init__(
+        self,
+        board: FactBoard,
+        on_quarantine: Callable[[str], None] = lambda _fingerprint: None,
+    ) -> None:
+        self._board = board
+        self._losses: dict[str, list[_Loss]] = {}
+        self._on_quarantine = on_quarantine
+
+    def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
+        """Return whether a request is refused, by what any router has found."""
+        return bool(self._board.values(FactKind.QUARANTINE, fingerprint, now_s))
+
+    def lost(self, instance_id: str, fingerprint: str, request_id: str, now_s: float) -> None:
+        """Note that a call's connection to a server was lost while the server worked on it."""
+        losses = self._losses.setdefault(instance_id, [])
+        losses.append(_Loss(fingerprint, request_id, now_s))
+        if len(self._losses) > MAX_FINGERPRINTS:
+            del self._losses[next(iter(self._losses))]
+
+    def answered(self, instance_id: str) -> None:
+        """Note that a server answers: what was lost there did not crash it."""
+        self._losses.pop(instance_id, None)
+
+    def refused(self, instance_id: str, now_s: float) -> None:
+        """Note that nothing listens at a server's address: it has crashed."""
+        for loss in self._losses.pop(instance_id, ()):
+            if now_s - loss.at_s <= CONFIRM_WITHIN_S:
+                self._count(loss, now_s)
+
+    def _count(self, loss: _Loss, now_s: float) -> None:
+        fingerprint = loss.fingerprint
+        fact = Fact(FactKind.LOSS, fingerprint, loss.request_id, now_s + REMEMBER_S)
+        self._board.add(fact, now_s)
+        crashes = len(self._board.values(FactKind.LOSS, fingerprint, now_s))
+        if crashes >= CRASHES_TO_QUARANTINE and not self.is_quarantined(fingerprint, now_s):
+            reason = f"{crashes} attempts crashed backend servers"
+            expires_s = now_s + QUARANTINE_S
+            self._board.add(Fact(FactKind.QUARANTINE, fingerprint, reason, expires_s), now_s)
+            self._on_quarantine(fingerprint)
+
+
+def fingerprint_of(request: CallerRequest) -> str:
+    """Return what all attempts of one request of a caller have in common."""
+    digest = hashlib.blake2b(digest_size=12)
+    for part in (request.method, request.host, request.target):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -14,6 +14,7 @@
 from fighinge.pauses import PauseWatch
 from fighinge.router.attempts import Attempts
 from fighinge.router.backend_calls import CurlBackendCalls
+from fighinge.router.crash_suspects import CrashSuspects
 from fighinge.router.extra_calls import ExtraCallTerms
 from fighinge.router.follower import Follower
 from fighinge.router.http_server import CallerServer
@@ -81,10 +82,11 @@
         terms = _extra_call_terms(settings)
         self.pool = BackendPool(self.view, settings.zone, terms, self._random)
         self.calls = CurlBackendCalls.create()
-        attempts = Attempts(self.calls, codec, TypicalTimes(), steady_clock)
+        self.peers = Peers(settings, steady_clock, time.time, self._random)
+        suspects = CrashSuspects(self.peers.board, self._quarantined)
+        attempts = Attempts(self.calls, codec, TypicalTimes(), suspects, steady_clock)
         self.service = RouterService(self.view, self.pool, attempts, codec, log, steady_clock)
         self.callers = CallerServer(self.service, codec, steady_clock)
-        self.peers = Peers(settings, steady_clock, time.time, self._random)
         self.pauses = PauseWatch(steady_clock)
         self.pauses.listen(self._paused)
         self.view.listen(self._view_changed)
@@ -198,6 +200,9 @@
             self.callers.limit(self.view.table.limits)
             VERSION.set(self.view.version)
 
+    def _quarantined(self, fingerprint: str) -> None:
+        self.log.write("request quarantined", fingerprint=fingerprint)
+
     def _paused(self, now_s: float) -> None:
         self.log.write("process was paused", version=self.view.version)
         self.peers.membership.paused(now_s)
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from fighinge.errors import ANSWERS, ErrorKind, Failure
+from fighinge.router.crash_suspects import fingerprint_of
 from fighinge.router.exchange import Answer, BackendResponse, CallerRequest, MergedAnswer
 from fighinge.router.gather import GatherCall
 from fighinge.router.metrics import observe_request
@@ -80,6 +81,9 @@
         route = self._route(request)
         if isinstance(route, Failure):
             return self._finish(request, None, version, route, "")
+        if self._attempts.suspects.is_quarantined(fingerprint_of(request), self._clock()):
+            failure = Failure(ErrorKind.QUARANTINED, "the request crashes backend servers")
+            return self._finish(request, route, version, failure, "")
         terms = self._terms(route, request)
         if route.gather is not None:
             gathered = GatherCall(
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -9,6 +9,7 @@
 
 from fighinge.aggregator.base import CallFailure, proves_not_sent
 from fighinge.errors import ErrorKind, Failure
+from fighinge.router.crash_suspects import fingerprint_of
 from fighinge.router.exchange import BackendResponse
 from fighinge.router.hedge_times import hedge_delay_s
 
@@ -148,7 +149,7 @@
 
     def _next_backend(self, now_s: float) -> Backend | BackendResponse | Failure | None:
         """Return whom to call next, none while all are busy, or why nobody is called."""
-        if not self._may_call_again():
+        if not self._may_call_again(now_s):
             return self._failure()
         typical_s = self._attempts.typical.typical_s(self._terms.kind)
         backend = self._pool.choose(self.service, typical_s, self._tried, now_s)
@@ -160,11 +161,16 @@
             return self._failure()
         return backend
 
-    def _may_call_again(self) -> bool:
+    def _may_call_again(self, now_s: float) -> bool:
         if self._arrivals >= self._terms.max_attempts or self._unsent >= MAX_UNSENT_TRIES:
             return False
+        if self._arrivals and self._is_quarantined(now_s):
+            return False
         return self._terms.repeatable or not self.may_have_run
 
+    def _is_quarantined(self, now_s: float) -> bool:
+        return self._attempts.suspects.is_quarantined(fingerprint_of(self._request), now_s)
+
     def _is_busy(self, now_s: float) -> bool:
         """Return whether a backend server could be called but for its connections in use."""
         return any(
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -7,9 +7,11 @@
 from collections import Counter
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
+from fighinge.facts import FactBoard
 from fighinge.platform.words import PlatformCodec
 from fighinge.router.attempts import Attempts
 from fighinge.router.changes import BackendListed, TablePublished
+from fighinge.router.crash_suspects import CrashSuspects
 from fighinge.router.exchange import BackendRequest, CallerRequest, RawResponse
 from fighinge.router.extra_calls import ExtraCallTerms
 from fighinge.router.model import (
@@ -179,7 +181,9 @@
         self.pool = BackendPool(self.view, zone, terms, random.Random(1))
         self.typical = TypicalTimes()
         codec = PlatformCodec()
-        self.attempts = Attempts(self.calls, codec, self.typical, self.clock)
+        self.board = FactBoard()
+        suspects = CrashSuspects(self.board)
+        self.attempts = Attempts(self.calls, codec, self.typical, suspects, self.clock)
         self.service = RouterService(
             self.view, self.pool, self.attempts, codec, self.log, self.clock
         )
--- /dev/null
+++ b/tests/router/test_crash_suspects.py
@@ -0,0 +1,99 @@
+"""Tests of requests that crash backend servers, over several routers."""
+
+from __future__ import annotations
+
+import pytest
+
+from fighinge.facts import FactBoard
+from fighinge.router.crash_suspects import (
+    CONFIRM_WITHIN_S,
+    CRASHES_TO_QUARANTINE,
+    REMEMBER_S,
+    CrashSuspects,
+    fingerprint_of,
+)
+from tests.router.builders import (
+    LOST,
+    REFUSED,
+    RouterParts,
+    entry,
+    request,
+    route,
+    table,
+)
+from tests.virtual_time import run
+
+NOW_S = 100.0
+FINGERPRINT = fingerprint_of(request())
+
+
+def _crash(suspects, number, now_s=NOW_S):
+    suspects.lost(f"i{number}", FINGERPRINT, f"r{number}", now_s)
+    suspects.refused(f"i{number}", now_s + 0.1)
+
+
+def test_attempts_at_several_routers_are_counted_together():
+    boards = [FactBoard(), FactBoard()]
+    for board, other in zip(boards, reversed(boards), strict=True):
+        board.listen(lambda fact, other=other: other.add(fact, NOW_S))
+    routers = [CrashSuspects(board) for board in boards]
+    for number in range(CRASHES_TO_QUARANTINE):
+        assert not routers[0].is_quarantined(FINGERPRINT, NOW_S)
+        _crash(routers[number % 2], number)
+    assert all(router.is_quarantined(FINGERPRINT, NOW_S + 1) for router in routers)
+
+
+def test_one_attempt_that_loses_many_servers_counts_once():
+    suspects = CrashSuspects(FactBoard())
+    for number in range(10):
+        suspects.lost(f"i{number}", FINGERPRINT, "r1", NOW_S)
+        suspects.refused(f"i{number}", NOW_S + 0.1)
+    assert not suspects.is_quarantined(FINGERPRINT, NOW_S + 1)
+
+
+@pytest.mark.parametrize("cleared_by", ["answer", "time"])
+def test_lost_connection_alone_is_no_crash(cleared_by):
+    suspects = CrashSuspects(FactBoard())
+    for number in range(10):
+        suspects.lost(f"i{number}", FINGERPRINT, f"r{number}", NOW_S)
+        if cleared_by == "answer":
+            suspects.answered(f"i{number}")
+        suspects.refused(f"i{number}", NOW_S + CONFIRM_WITHIN_S + 0.1)
+    assert not suspects.is_quarantined(FINGERPRINT, NOW_S + 4)
+
+
+def test_old_crashes_are_forgotten():
+    suspects = CrashSuspects(FactBoard())
+    for number in range(CRASHES_TO_QUARANTINE):
+        _crash(suspects, number, NOW_S + number * REMEMBER_S)
+    assert not suspects.is_quarantined(FINGERPRINT, NOW_S + 3 * REMEMBER_S)
+
+
+def test_requests_differ_by_body_and_path():
+    prints = {
+        fingerprint_of(request(body=body, target=target))
+        for body in (b"", b"x")
+        for target in ("/a", "/b")
+    }
+    assert len(prints) == 4
+
+
+def test_crashing_request_is_refused_and_others_are_served():
+    async def ask():
+        parts = RouterParts()
+        entries = [entry(f"i{number}") for number in range(12)]
+        parts.publish(table(route()), *entries)
+        for item in entries:
+            parts.calls.script(item.instance_id, (0.001, LOST), (0.001, REFUSED))
+        for number in range(8):
+            await parts.ask("/single/crash", request_id=f"r{number}")
+        for item in entries:
+            parts.calls.script(item.instance_id, (0.001, None))
+        sent = len(parts.calls.sent)
+        refused = await parts.ask("/single/crash", request_id="again")
+        served = await parts.ask("/single/other", request_id="other")
+        return refused.status, served.status, sent, len(parts.calls.sent)
+
+    refused, served, before, after = run(ask())
+    assert (refused, served) == (502, 200)
+    assert after == before + 1
