--- a/fighinge/platform/words.py
+++ b/fighinge/platform/words.py
@@ -47,7 +47,13 @@
     __slots__ = ()
 
     def decode_request(
-        self, method: str, target: str, headers: Headers, body: bytes, received_s: float
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        received_s: float,
+        way_s: float = 0.0,
     ) -> CallerRequest | Failure:
         """Return what a caller asks."""
         values = {name.lower(): value for name, value in headers}
@@ -69,6 +75,7 @@
             body=body,
             patience_s=patience_s,
             received_s=received_s,
+            way_s=way_s,
         )
 
     def encode_request(
--- a/fighinge/router/exchange.py
+++ b/fighinge/router/exchange.py
@@ -15,8 +15,9 @@
     """A request as a caller sent it.
 
     ``target`` is the path with its query, byte for byte. ``patience_s`` is how long the caller
-    waits from ``received_s`` on. ``headers`` leaves out those of the caller's connection and
-    those that the router sets.
+    waits from ``received_s`` on; ``way_s`` is the time on the way to the router and back, with
+    that for the connection where the request is its first. ``headers`` leaves out those of the
+    caller's connection and those that the router sets.
     """
 
     request_id: str
@@ -28,6 +29,7 @@
     body: bytes
     patience_s: float
     received_s: float
+    way_s: float = 0.0
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -105,6 +107,7 @@
         headers: Headers,
         body: bytes,
         received_s: float,
+        way_s: float = 0.0,
     ) -> CallerRequest | Failure:
         """Return what a caller asks."""
 
--- a/fighinge/router/http_server.py
+++ b/fighinge/router/http_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from typing import TYPE_CHECKING
 
 from tornado import httputil
@@ -20,6 +22,8 @@
     from fighinge.router.service import RouterService
 
 IDLE_MARGIN_S = 1.0  # a caller may use a connection until the last moment of the idle limit
+TCP_INFO_BYTES = 104  # the fields that every kernel has had since the round trip was added
+RTT_OFFSET = 68  # tcpi_rtt in microseconds, of struct tcp_info in linux/tcp.h
 QUIET_S = 0.25  # a request that was sent before its caller could see the close has arrived
 MAX_HEADER_BYTES = 65_536  # the operators' limit is checked once the configuration is known
 MAX_BODY_BYTES = 8 * 1024 * 1024  # as above
@@ -33,6 +37,7 @@
         self._codec = codec
         self.clock = clock
         self._tasks: set[asyncio.Task] = set()
+        self._used: set[object] = set()
         self.is_stopping = False
         self._is_closing = False
         self._was_quiet = True
@@ -95,7 +100,13 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> httputil.HTTPMessageDelegate:
         """Begin to read a request; called by tornado."""
-        return _Request(self, request_conn)
+        is_first = server_conn not in self._used
+        self._used.add(server_conn)
+        return _Request(self, request_conn, is_first)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection; called by tornado."""
+        self._used.discard(server_conn)
 
     def received(
         self,
@@ -104,13 +115,16 @@
         headers: httputil.HTTPHeaders,
         body: bytes,
         received_s: float,
+        way_s: float,
     ) -> None:
         """Answer a request that was read."""
         if self._is_closing:
             connection.close()
             return
         self._was_quiet = False
-        task = asyncio.create_task(self._answer(connection, start_line, headers, body, received_s))
+        task = asyncio.create_task(
+            self._answer(connection, start_line, headers, body, received_s, way_s)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -121,10 +135,11 @@
         headers: httputil.HTTPHeaders,
         body: bytes,
         received_s: float,
+        way_s: float,
     ) -> None:
         target = start_line.path
         request = self._codec.decode_request(
-            start_line.method, target, tuple(headers.get_all()), body, received_s
+            start_line.method, target, tuple(headers.get_all()), body, received_s, way_s
         )
         task = asyncio.current_task()
         connection.set_close_callback(task.cancel)
@@ -158,8 +173,9 @@
 class _Request(httputil.HTTPMessageDelegate):
     """Collects one request."""
 
-    def __init__(self, server: CallerServer, connection: HTTP1Connection) -> None:
+    def __init__(self, server: CallerServer, connection: HTTP1Connection, is_first: bool) -> None:
         self._server = server
+        self._is_first = is_first
         self._connection = connection
         self._chunks: list[bytes] = []
         self._start_line: httputil.RequestStartLine | None = None
@@ -186,8 +202,22 @@
             self._headers,
             b"".join(self._chunks),
             self._received_s,
+            round_trip_s(self._connection) * (2 if self._is_first else 1),
         )
 
     def on_connection_close(self) -> None:
         """Forget a request whose caller left before it was read."""
         self._chunks.clear()
+
+
+def round_trip_s(connection: HTTP1Connection) -> float:
+    """Return the time to a caller and back as the kernel measured it, 0 where it did not."""
+    try:
+        raw = connection.stream.socket.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+    except (AttributeError, OSError):
+        return 0.0
+    if len(raw) < RTT_OFFSET + 4:
+        return 0.0
+    return struct.unpack_from("=I", raw, RTT_OFFSET)[0] / 1e6
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -24,7 +24,8 @@
     from fighinge.router.view import View
 
 ANSWER_MARGIN_S = 0.015  # for the answer to leave this host before the caller gives up
-CALLER_ROUND_TRIP_S = 0.010  # the longest way to callers and back is 6 ms; the rest is encoding
+UNKNOWN_WAY_S = 0.006  # a caller of the same region, where the kernel measured nothing
+OWN_WORK_S = 0.005  # reading, merging and writing, beside other requests
 LATE_FACTOR = 4.0  # a request that comes late gets the time that nearly all calls need
 RETRY_NOT_READY_S = 0.3  # a process that starts knows the configuration after this
 RETRY_NO_REPLICA_S = 0.5  # crashed backend servers come back after some seconds, others sooner
@@ -152,7 +153,8 @@
         spent_s = longest_s - request.patience_s
         left_s = min(request.patience_s, route.timeout_s) - ANSWER_MARGIN_S
         hard_s = request.received_s + left_s
-        aim_s = request.received_s + route.latency_target_s - CALLER_ROUND_TRIP_S - spent_s
+        way_s = request.way_s or UNKNOWN_WAY_S
+        aim_s = request.received_s + route.latency_target_s - way_s - OWN_WORK_S - spent_s
         typical_s = self._attempts.typical.typical_s(route.name)
         soft_s = max(aim_s, now_s + LATE_FACTOR * typical_s)
         return CallTerms(
@@ -200,6 +202,7 @@
             status=answer.status,
             took_s=round(took_s, 4),
             patience_s=request.patience_s,
+            way_s=round(request.way_s, 4),
             version=version,
             view_age_s=round(self._view.age_s(Topic.CONFIGURATION, self._clock()), 2),
             **fields,
