--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -11,6 +11,7 @@
 from fighinge.router.exchange import BackendResponse
 
 if TYPE_CHECKING:
+    from fighinge.router.decision_log import DecisionLog
     from fighinge.router.model import BackendEntry
 
 SLOWNESS_WEIGHT = 0.3  # three calls tell a pause of one server from a slow phase
@@ -25,6 +26,9 @@
 SHED_PAUSE_S = 0.05  # a full queue of 12 empties in about this time
 STALL_FACTOR = 3.0  # few calls take three times as long as usual unless the server stands still
 STALL_FLOOR_S = 0.025  # below this, delays of the network and of this process count more
+SILENT_CALLS = 2  # one call may have met a pause; two in a row are a server that is gone
+SLOW = 3.0  # as many times as long as usual; told in the log
+END_OF_SLOW = 1.5  # well below, so that the log does not repeat itself
 COLD_FACTOR = 1.6  # a started server's work takes about this much longer
 
 
@@ -43,6 +47,8 @@
         "_down_until_s",
         "_failure_s",
         "_failure_share",
+        "_is_slow",
+        "_log",
         "_next_call",
         "_report_s",
         "_reported",
@@ -55,8 +61,10 @@
         "is_leaving",
     )
 
-    def __init__(self, entry: BackendEntry, now_s: float) -> None:
+    def __init__(self, entry: BackendEntry, log: DecisionLog, now_s: float) -> None:
         self.entry = entry
+        self._log = log
+        self._is_slow = False
         self.connection_quota = 1
         self.is_leaving = False
         self._calls: dict[int, _Call] = {}
@@ -145,6 +153,8 @@
         if isinstance(result, CallFailure):
             self._failed(result, took_s, call.typical_s, now_s)
             return
+        if self._down_s > FIRST_DOWN_S:
+            self._write("answers", "a call was answered", now_s)
         self._down_s = FIRST_DOWN_S
         self._down_until_s = float("-inf")
         self._silent_timeouts = 0
@@ -154,7 +164,7 @@
         if result.cold_left_s is not None:
             self._cold_until_s = now_s + result.cold_left_s
         if result.is_other_instance:
-            self._go_down(now_s)
+            self._go_down("another process has the address", now_s)
         if result.was_not_run:
             self._shed_until_s = now_s + SHED_PAUSE_S
         is_success = 200 <= result.status < 500 and not result.was_not_run
@@ -167,16 +177,17 @@
             return
         self._observe_failure(True, now_s)
         if failure.fault is CallFault.NOT_CONNECTED:
-            self._go_down(now_s)
+            self._go_down(failure.reason, now_s)
         elif failure.fault is CallFault.TIMEOUT:
             self._observe_slowness(took_s / typical_s, now_s)
             self._silent_timeouts += 1
-            if self._silent_timeouts >= 2:
-                self._go_down(now_s)
+            if self._silent_timeouts >= SILENT_CALLS:
+                self._go_down(f"{SILENT_CALLS} calls without an answer", now_s)
 
-    def _go_down(self, now_s: float) -> None:
+    def _go_down(self, cause: str, now_s: float) -> None:
         if now_s < self._down_until_s:
             return
+        self._write("down", cause, now_s)
         self._down_until_s = now_s + self._down_s
         self._down_s = min(LONGEST_DOWN_S, 2 * self._down_s)
 
@@ -184,6 +195,21 @@
         known = self.slowness(now_s)
         self._slowness = known + SLOWNESS_WEIGHT * (min(ratio, MAX_SLOWNESS) - known)
         self._slowness_s = now_s
+        if self._is_slow != (self._slowness >= (END_OF_SLOW if self._is_slow else SLOW)):
+            self._is_slow = not self._is_slow
+            self._write("slow" if self._is_slow else "usual", "time of its calls", now_s)
+
+    def _write(self, state: str, cause: str, now_s: float) -> None:
+        self._log.write(
+            "backend server condition",
+            backend=self.entry.instance_id,
+            service=self.entry.service,
+            state=state,
+            cause=cause,
+            slowness=round(self.slowness(now_s), 1),
+            failure_share=round(self.failure_share(now_s), 2),
+            in_flight=len(self._calls),
+        )
 
     def _observe_failure(self, has_failed: bool, now_s: float) -> None:
         known = self.failure_share(now_s)
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -80,7 +80,7 @@
             identity = (entry.instance_id, entry.started_ms)
             backend = self._backends.get(identity)
             if backend is None:
-                backend = Backend(entry, now_s)
+                backend = Backend(entry, self._view.log, now_s)
             elif backend.entry is not entry:
                 backend.update(entry, now_s)
             backend.connection_quota = self._quota(entry.service)
--- a/tests/router/test_http_server.py
+++ b/tests/router/test_http_server.py
@@ -141,3 +141,16 @@
     status, body = _serve(work)
     assert status.startswith("HTTP/1.1 400")
     assert b"X-Request-Id" in body
+
+
+def test_way_to_the_caller_is_measured_and_counts_twice_for_a_new_connection():
+    async def work(server, port, parts):
+        reader, writer = await _connect(port)
+        for _ in range(2):
+            writer.write(REQUEST)
+            await _read_response(reader)
+        writer.close()
+        return [line["way_s"] for line in parts.log.lines if line["event"] == "request"]
+
+    first, second = _serve(work)
+    assert 0 <= second <= first < 0.1
