Tell when each unusual call of a request began and ended

Change: the trace of a request has start and end of each call in milliseconds, calls that took twice as long as usual, and calls that had not ended.

--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -223,6 +223,10 @@
 
 
 def _traces(calls: list[ServiceCall]) -> str:
-    """Return what was not plain in the calls: a first call that succeeded is left out."""
-    unusual = (call for call in calls if len(call.trace) != 1 or not call.trace[0].endswith("200"))
-    return "; ".join(f"{call.service.name}: {', '.join(call.trace) or 'open'}" for call in unusual)
+    """Return what was not plain in the calls."""
+    unusual = ((call, [*call.trace, *call.unended()]) for call in calls)
+    return "; ".join(
+        f"{call.service.name}: {', '.join(trace)}"
+        for call, trace in unusual
+        if not call.is_plain or len(trace) != 1 or " open " in trace[0]
+    )
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -22,6 +22,7 @@
     from fighinge.router.pool import BackendPool, Service
 
 BUSY_POLL_S = 0.005  # how often a free connection is looked for; a fraction of any call's time
+NOTED_FACTOR = 2.0  # a call that took this much longer than usual is told in the log
 MAX_UNSENT_TRIES = 4  # a service's backend servers that refuse connections, one after the other
 
 
@@ -42,7 +43,8 @@
 class ServiceCall:
     """Asks backend servers of a service until one answers, within the terms and the budget.
 
-    ``trace`` tells for the log what was called and how it ended.
+    ``trace`` tells for the log what was called, how it ended and when, in milliseconds from the
+    request's arrival; ``is_plain`` holds while that is one answer in the usual time.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "_failed_response",
         "_leave_out",
         "_may_hedge",
+        "_open",
         "_pool",
         "_request",
         "_started_s",
@@ -59,6 +62,7 @@
         "_tried",
         "_uncertain",
         "_unsent",
+        "is_plain",
         "service",
         "trace",
     )
@@ -76,6 +80,8 @@
     ) -> None:
         self.service = service
         self.trace: list[str] = []
+        self.is_plain = True
+        self._open: dict[Backend, float] = {}
         self._request = request
         self._terms = terms
         self._pool = pool
@@ -141,6 +147,7 @@
         self._arrivals += 1
         self._uncertain += 1
         self._started_s = now_s
+        self._open[backend] = now_s
         call = self._attempts.run(
             self._request,
             backend,
@@ -166,10 +173,10 @@
         """Spend a call of the budget, unless it is scarce and the result can be done without."""
         budget, routers = self.service.extra_calls, self._pool.routers
         if budget.is_scarce(routers, now_s) and self._leave_out():
-            self.trace.append("left out to save budget")
+            self._note("left out to save budget")
             return False
         if not budget.take_retry(routers, now_s):
-            self.trace.append("no budget for a retry")
+            self._note("no budget for a retry")
             return False
         return True
 
@@ -212,12 +219,12 @@
         if now_s + backend.expected_s(typical_s, now_s) >= limit_s:
             return
         if budget.take_hedge(self._pool.routers, now_s):
-            self.trace.append("hedge")
+            self._note("hedge")
             self._start(backend, pending, now_s)
 
     def _is_final(self, result: CallEnd, backend: Backend) -> bool:
         """Take the end of a call and return whether it ends the request at this service."""
-        self.trace.append(f"{backend.entry.instance_id} {describe(result)}")
+        self._note_end(backend, result)
         if proves_not_sent(result):
             self._arrivals -= 1
             self._uncertain -= 1
@@ -235,6 +242,29 @@
         self._failed_response = result
         return result.status < 500 or not self._terms.repeatable
 
+    def unended(self) -> list[str]:
+        """Return the calls that have not ended."""
+        return [
+            f"{backend.entry.instance_id} open {self._ms(started_s)}-"
+            for backend, started_s in self._open.items()
+        ]
+
+    def _note(self, what: str) -> None:
+        self.is_plain = False
+        self.trace.append(what)
+
+    def _note_end(self, backend: Backend, result: CallEnd) -> None:
+        now_s = self._clock()
+        started_s = self._open.pop(backend)
+        usual_s = NOTED_FACTOR * self._attempts.typical.typical_s(self._terms.kind)
+        is_success = isinstance(result, BackendResponse) and result.is_success
+        self.is_plain = self.is_plain and is_success and now_s - started_s <= usual_s
+        times = f"{self._ms(started_s)}-{self._ms(now_s)}"
+        self.trace.append(f"{backend.entry.instance_id} {describe(result)} {times}")
+
+    def _ms(self, at_s: float) -> int:
+        return round(1000 * (at_s - self._request.received_s))
+
     def _failure(self) -> BackendResponse | Failure:
         """Return what the caller is told after the last call."""
         if self._failed_response is not None:
