--- a/fighinge/router/extra_calls.py
+++ b/fighinge/router/extra_calls.py
@@ -13,7 +13,7 @@
 SAFETY = 0.9  # requests near the edges of a window are counted by the other side's clock
 BUCKETS = 20  # half a second each at the usual window of 10 s
 HEDGE_PART = 0.9  # the rest is kept for calls that have failed for certain
-SCARCE_PART = 0.6  # beyond this, a shard that an answer can do without is left out
+SCARCE_PART = 0.9  # beyond this, a shard that an answer can do without is left out
 
 
 class ExtraCallTerms(msgspec.Struct, frozen=True):
