--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -19,7 +19,6 @@
 SLOWNESS_FADES_S = 2.0  # a phase lasts some seconds; an unused server is tried again after that
 FAILURE_WEIGHT = 0.25  # four failures in a row make a server a last choice
 FAILURE_FADES_S = 2.0  # as for slowness
-FAILURE_POWER = 2  # a failed call costs its own time, and the call after it
 MAX_FAILURE_SHARE = 0.95  # keeps the cost of a server that always fails finite
 REPORT_VALID_S = 0.25  # a reported load describes the moment of a response
 FIRST_DOWN_S = 0.4  # a restarted process is back within a second or so
@@ -122,7 +121,7 @@
         expected_s += self._stalled_s(now_s)
         if now_s < self._shed_until_s:
             expected_s += 5 * typical_s
-        return expected_s / (1.0 - self.failure_share(now_s)) ** FAILURE_POWER
+        return expected_s / (1.0 - self.failure_share(now_s))
 
     def slowness(self, now_s: float) -> float:
         """Return how many times as long as usual calls take here."""
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -215,8 +215,7 @@
         backend = self._pool.choose(self.service, typical_s, self._tried, now_s)
         if backend is None:
             return
-        limit_s = self._terms.soft_s if now_s < self._terms.soft_s else self._terms.hard_s
-        if now_s + backend.expected_s(typical_s, now_s) >= limit_s:
+        if now_s + backend.expected_s(typical_s, now_s) >= self._terms.hard_s:
             return
         if budget.take_hedge(self._pool.routers, now_s):
             self._note("hedge")
