Let three routers of each data centre read the store and serve callers from strong hosts

Change: relay.py and peer_follower.py pass changes on within a data centre, with the rule that exists for readers (configuration/readers.py); members tell their processor, and address answers name hosts with at least half of the strongest one's (addresses.py), fewer than three strong ones excepted; the shared limits go to them by 0.85.

Ruled out: passing on whole views (40 KB for each change and host).

Measured: tests/router/test_relay.py.

--- a/fighinge/configuration/readers.py
+++ b/fighinge/configuration/readers.py
@@ -8,6 +8,7 @@
 from fighinge.ownership import rendezvous_weight
 
 if TYPE_CHECKING:
+    from fighinge.membership.member import Member
     from fighinge.membership.table import MemberTable
 
 READERS_PER_ZONE = 3
@@ -17,15 +18,19 @@
 MIN_INTERVAL_S = 2.0
 
 
-def is_reader(table: MemberTable) -> bool:
-    """Return whether this process watches the platform for its zone."""
-    mine = rendezvous_weight(table.me.name, READER_KEY)
+def is_reader(table: MemberTable, candidate: Member | None = None) -> bool:
+    """Return whether a process watches the platform for its zone.
+
+    :param candidate: whom to judge, by default this process
+    """
+    candidate = candidate or table.me
+    mine = rendezvous_weight(candidate.name, READER_KEY)
     ahead = sum(
-        member.zone == table.me.zone
+        member.zone == candidate.zone
         and member.state is not MemberState.DEAD
         and not member.leaving
         and rendezvous_weight(member.name, READER_KEY) > mine
-        for member in table.reachable()
+        for member in (table.me, *table.reachable())
     )
     return ahead < READERS_PER_ZONE
 
--- a/fighinge/membership/member.py
+++ b/fighinge/membership/member.py
@@ -10,6 +10,7 @@
 MAX_INCARNATION = 2**53
 
 Text = Annotated[str, msgspec.Meta(max_length=64)]
+Cores = Annotated[float, msgspec.Meta(ge=0, le=4096)]
 Incarnation = Annotated[int, msgspec.Meta(ge=0, le=MAX_INCARNATION)]
 
 
@@ -51,6 +52,7 @@
 
     Only the process itself raises its ``incarnation``: whenever it changes what it says of
     itself, and to refute a claim of others. ``accuser`` names who suspects it.
+    ``capacity_cores`` is the processor time that it may use.
     """
 
     role: Role
@@ -61,6 +63,7 @@
     leaving: bool = False
     overloaded: bool = False
     accuser: Text = ""
+    capacity_cores: Cores = 1.0
 
     @property
     def name(self) -> str:
--- a/fighinge/platform/settings.py
+++ b/fighinge/platform/settings.py
@@ -25,8 +25,10 @@
 
 
 class _Limits(_Part):
-    memory_mb: float = 300
-    max_fds: int = 4100
+    """``cpu-share`` is the part of a core, of which each runs ``cores`` times as fast."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
 
 
 class _Bounds(_Part):
@@ -54,6 +56,7 @@
     zones: dict[str, str] = {}
     region: str = ""
     seeds: list[str] = []
+    bootstrap: bool = False
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -99,6 +102,8 @@
         cold_rate_factor=bounds.cold_overage,
         cold_rate_slack=bounds.cold_slack,
         max_address_keep_s=bounds.ttl_max_s,
+        capacity_cores=raw.limits.cpu_share * raw.limits.cores,
+        is_first_start=raw.bootstrap,
     )
 
 
--- a/fighinge/router/addresses.py
+++ b/fighinge/router/addresses.py
@@ -10,6 +10,8 @@
     from collections.abc import Iterable, Mapping
 
 MAX_ADDRESSES = 64  # as many as callers take from one answer
+STRONG_SHARE = 0.5  # a host with half of the strongest one's processor is as good for callers
+FEWEST_STRONG = 3  # two of them may be lost at once
 FEWEST_ADDRESSES = 3  # a caller that has lost two of them still has one to try
 
 
@@ -19,6 +21,16 @@
     host: str
     zone: str
     is_suspect: bool = False
+    is_overloaded: bool = False
+    capacity_cores: float = 1.0
+
+
+def strong_routers(routers: Iterable[RouterAddress]) -> list[RouterAddress]:
+    """Return the routers on strong hosts, all of them where too few are strong."""
+    routers = list(routers)
+    strongest = max((router.capacity_cores for router in routers), default=0.0)
+    strong = [router for router in routers if router.capacity_cores >= STRONG_SHARE * strongest]
+    return strong if len(strong) >= FEWEST_STRONG else routers
 
 
 def choose_routers(
@@ -27,10 +39,13 @@
     """Return the routers for a caller in a data centre, nearest first.
 
     Callers take one of them at random, so that those of other data centres are named only where
-    the caller's own has too few to outlive the loss of some.
+    the caller's own has too few to outlive the loss of some. Where hosts are unequal, the strong
+    ones serve callers: merging many shards takes a weak host a good part of the time that an
+    answer may take, and few routers keep their connections warm and know backend servers better.
     """
     usable = list(routers)
     usable = [router for router in usable if not router.is_suspect] or usable
+    usable = strong_routers(router for router in usable if not router.is_overloaded) or usable
     region = region_by_zone.get(zone)
 
     def distance(router: RouterAddress) -> tuple[bool, bool, str]:
--- a/fighinge/router/extra_calls.py
+++ b/fighinge/router/extra_calls.py
@@ -2,6 +2,7 @@
 
 All routers together may send a share of the requests and a slack in each window. A router spends
 the share of its own requests and its part of the slack, so that the sum holds without agreement.
+``part`` is that part, between 0 and 1.
 """
 
 from __future__ import annotations
@@ -53,23 +54,23 @@
         self._current(now_s).first += 1
         self._first += 1
 
-    def take_retry(self, routers: int, now_s: float) -> bool:
+    def take_retry(self, part: float, now_s: float) -> bool:
         """Spend a call that follows a failed one, if the budget has it."""
-        return self._take(1.0, routers, now_s)
+        return self._take(1.0, part, now_s)
 
-    def take_hedge(self, routers: int, now_s: float) -> bool:
+    def take_hedge(self, part: float, now_s: float) -> bool:
         """Spend a call beside one that has not ended, if the budget has it."""
-        return self._take(HEDGE_PART, routers, now_s)
+        return self._take(HEDGE_PART, part, now_s)
 
-    def has_hedge(self, routers: int, now_s: float) -> bool:
+    def has_hedge(self, part: float, now_s: float) -> bool:
         """Return whether the budget has a call beside one that has not ended."""
         self._current(now_s)
-        return self._extra + 1 <= HEDGE_PART * self._allowed(routers)
+        return self._extra + 1 <= HEDGE_PART * self._allowed(part)
 
-    def is_scarce(self, routers: int, now_s: float) -> bool:
+    def is_scarce(self, part: float, now_s: float) -> bool:
         """Return whether most of the budget of the window is spent."""
         self._current(now_s)
-        return self._extra + 1 > SCARCE_PART * self._allowed(routers)
+        return self._extra + 1 > SCARCE_PART * self._allowed(part)
 
     def give_back(self, now_s: float) -> None:
         """Take back a call that was spent and provably never sent."""
@@ -77,17 +78,17 @@
             self._current(now_s).extra -= 1
             self._extra -= 1
 
-    def _take(self, part: float, routers: int, now_s: float) -> bool:
+    def _take(self, share: float, part: float, now_s: float) -> bool:
         bucket = self._current(now_s)
-        if self._extra + 1 > part * self._allowed(routers):
+        if self._extra + 1 > share * self._allowed(part):
             return False
         bucket.extra += 1
         self._extra += 1
         return True
 
-    def _allowed(self, routers: int) -> float:
+    def _allowed(self, part: float) -> float:
         terms = self._terms
-        return SAFETY * (terms.share * self._first + terms.slack / max(1, routers))
+        return SAFETY * (terms.share * self._first + terms.slack * part)
 
     def _current(self, now_s: float) -> _Bucket:
         number = int(now_s * BUCKETS / self._terms.window_s)
--- a/fighinge/router/follower.py
+++ b/fighinge/router/follower.py
@@ -18,13 +18,23 @@
 WATCH_S = 28.0  # each watch is paid for; silence is found by probes of the connection, not by this
 FIRST_RETRY_S = 0.1  # a cut watch is usually taken up again at once
 LONGEST_RETRY_S = 0.8  # well within the 3 s in which a configuration has to be in force
+ROLE_INTERVAL_S = 0.1  # how soon a router begins to read that is to
 GATHER_EVENTS_S = 0.15  # a watch answers each event alone; a pause answers several at once
 
 
 class Follower:
     """Reads everything once, then watches; reads anew where the history is lost."""
 
-    __slots__ = ("_clock", "_random", "_retry_s", "_revision", "_source", "_topic", "_view")
+    __slots__ = (
+        "_clock",
+        "_may_read",
+        "_random",
+        "_retry_s",
+        "_revision",
+        "_source",
+        "_topic",
+        "_view",
+    )
 
     def __init__(
         self,
@@ -33,7 +43,9 @@
         view: View,
         clock: Callable[[], float],
         random_source: random.Random,
+        may_read: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._may_read = may_read
         self._source = source
         self._topic = topic
         self._view = view
@@ -45,7 +57,11 @@
     async def run(self) -> None:
         """Follow the source for as long as the task runs."""
         while True:
-            if self._revision is None:
+            if not self._may_read():
+                self._revision = None
+                self._view.not_read(self._topic, self._clock())
+                await asyncio.sleep(ROLE_INTERVAL_S)
+            elif self._revision is None:
                 await self._read()
             else:
                 await self._watch(self._revision)
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -13,7 +13,7 @@
     buckets=LATENCY_BUCKETS_S,
 )
 OUTCOMES = Counter("fighinge_requests", "Requests by outcome", ("route", "outcome"))
-ROUTERS = Gauge("fighinge_routers", "Routers that share the limits")
+ROUTERS = Gauge("fighinge_routers", "Routers that take work")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 MAX_ROUTE_LABELS = 64  # a configuration may grow by hundreds of routes
 
--- /dev/null
+++ b/fighinge/router/peer_follower.py
@@ -0,0 +1,187 @@
+"""Follows the view of a peer, where this router does not read the store or cannot."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado.httpclient import HTTPRequest
+
+from fighinge.configuration.readers import is_reader
+from fighinge.curl import (
+    CurlClient,
+    TransferFailure,
+    create_client,
+    fetch_once,
+    probe_silence,
+)
+from fighinge.router.relay import CHANGES_PATH, VIEW_PATH, PeerChanges, PeerView
+from fighinge.router.view import Topic
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from fighinge.membership.member import Member
+    from fighinge.router.peers import Peers
+    from fighinge.router.view import View
+
+ASK_INTERVAL_S = 0.25  # ten times within the 3 s in which a configuration has to be in force
+CONTACT_LOST_S = 0.4  # one failed read and its repeat
+WAIT_S = 25.0  # silence is found by probes of the connection, not by this
+CONNECT_TIMEOUT_S = 0.3  # a hundred times the way between data centres
+ANSWER_TIMEOUT_S = 1.5  # a view of a megabyte over a link of 10 Mbit/s
+MAX_CONCURRENT_CALLS = 2
+READ_ALONE_AFTER_S = 3.0  # readers of a store that is away are in contact again before others
+KEEP_READING_S = 10.0  # a reader stays one while members come and go
+
+
+class ReaderRole:
+    """Decides whether this router reads the store itself.
+
+    Some of each data centre do, the others follow them. One that finds nobody to follow reads
+    after a while, and a router that starts reads once it had time to hear of others.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_not_before_s",
+        "_peers",
+        "_reader_until_s",
+        "_unserved_since_s",
+        "_view",
+    )
+
+    def __init__(
+        self, view: View, peers: Peers, start_wait_s: float, clock: Callable[[], float]
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._clock = clock
+        self._not_before_s = clock() + start_wait_s
+        self._reader_until_s = float("-inf")
+        self._unserved_since_s: float | None = None
+
+    def may_read(self) -> bool:
+        """Return whether to read the store now."""
+        now_s = self._clock()
+        if now_s < self._not_before_s:
+            return False
+        if is_reader(self._peers.membership.table):
+            self._reader_until_s = now_s + KEEP_READING_S
+        if now_s < self._reader_until_s:
+            return True
+        if all(self._view.is_fresh(topic) for topic in Topic):
+            self._unserved_since_s = None
+            return False
+        if self._unserved_since_s is None:
+            self._unserved_since_s = now_s
+        return now_s - self._unserved_since_s >= READ_ALONE_AFTER_S
+
+
+class PeerFollower:
+    """Takes the view of a peer that reads the store, and its changes."""
+
+    __slots__ = ("_client", "_clock", "_peers", "_port", "_random", "_started_s", "_view")
+
+    def __init__(
+        self,
+        view: View,
+        peers: Peers,
+        port: int,
+        client: CurlClient,
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._port = port
+        self._client = client
+        self._clock = clock
+        self._random = random_source
+        self._started_s = clock()
+
+    @classmethod
+    def create(
+        cls,
+        view: View,
+        peers: Peers,
+        port: int,
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ) -> PeerFollower:
+        """Return a follower with connections of its own."""
+        return cls(view, peers, port, create_client(MAX_CONCURRENT_CALLS), clock, random_source)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    async def run(self) -> None:
+        """Follow for as long as the task runs."""
+        while True:
+            peer = self._choose() if self.is_needed(self._clock()) else None
+            if peer is not None:
+                await self._follow(peer)
+            await asyncio.sleep(ASK_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
+
+    def is_needed(self, now_s: float) -> bool:
+        """Return whether this router is out of contact with the store, or does not read it."""
+        since_s = max(self._view.out_of_contact_s(topic, now_s) for topic in Topic)
+        return min(since_s, now_s - self._started_s) >= CONTACT_LOST_S
+
+    def _choose(self) -> Member | None:
+        """Return a peer that may read the store, mostly one of this data centre."""
+        table = self._peers.membership.table
+        members = [member for member in table.reachable() if not member.leaving]
+        near = [member for member in members if member.zone == table.me.zone]
+        readers = [member for member in members if is_reader(table, member)]
+        near_readers = [member for member in readers if member in near]
+        for candidates in (near_readers, readers, members):
+            if candidates and self._random.random() < 0.8:
+                return self._random.choice(candidates)
+        return None
+
+    async def _follow(self, peer: Member) -> None:
+        """Take a peer's view and its changes, until it fails or is not needed any longer."""
+        content = await self._get(peer, VIEW_PATH, ANSWER_TIMEOUT_S, PeerView)
+        if content is None:
+            return
+        topics = [topic for topic in Topic if not self._view.is_in_contact(topic)]
+        now_s = self._clock()
+        for topic in topics:
+            self._view.replace(topic, content.changes(topic), now_s, from_peer=True)
+            self._view.relayed(topic, peer.host, now_s)
+        sequence = content.sequence
+        while self.is_needed(self._clock()):
+            query = f"?epoch={content.epoch}&after={sequence}&wait_s={WAIT_S}"
+            timeout_s = WAIT_S + ANSWER_TIMEOUT_S
+            changes = await self._get(peer, CHANGES_PATH + query, timeout_s, PeerChanges)
+            if changes is None:
+                break
+            sequence = changes.sequence
+            now_s = self._clock()
+            self._view.take(changes.changes, now_s, from_peer=True)
+            for topic in topics:
+                self._view.relayed(topic, peer.host, now_s)
+        for topic in topics:
+            self._view.relay_lost(topic, self._clock())
+
+    async def _get(self, peer: Member, path: str, timeout_s: float, message_type: type):
+        """Return a peer's answer, none where it has none for us."""
+        request = HTTPRequest(
+            f"http://{peer.host}:{self._port}{path}",
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=timeout_s,
+        )
+        response = await fetch_once(self._client, request, prepare=probe_silence)
+        if isinstance(response, TransferFailure) or response.code != 200:
+            reason = getattr(response, "reason", "") or f"status {response.code}"
+            self._view.log.write("peer not followed", peer=peer.host, reason=reason)
+            return None
+        try:
+            return msgspec.msgpack.decode(response.body, type=message_type)
+        except msgspec.DecodeError as error:
+            self._view.log.write("peer's view unreadable", peer=peer.host, reason=str(error))
+            return None
--- a/fighinge/router/peers.py
+++ b/fighinge/router/peers.py
@@ -10,7 +10,7 @@
 from fighinge.membership.messages import Codec
 from fighinge.membership.service import Membership
 from fighinge.membership.transport import UdpTransport
-from fighinge.router.addresses import RouterAddress
+from fighinge.router.addresses import RouterAddress, strong_routers
 
 if TYPE_CHECKING:
     import random
@@ -18,13 +18,13 @@
 
     from fighinge.router.settings import RouterSettings
 
-SETTLING_S = 3.0  # a process that starts hears of all others within this
+STRONG_PART = 0.85  # weak hosts still get callers that keep an old answer
 
 
 class Peers:
     """Membership among routers."""
 
-    __slots__ = ("_clock", "_seeds", "_started_s", "board", "membership")
+    __slots__ = ("_seeds", "board", "membership")
 
     def __init__(
         self,
@@ -33,13 +33,17 @@
         wall_clock: Callable[[], float],
         random_source: random.Random,
     ) -> None:
-        self._clock = clock
         self._seeds = set(settings.seeds)
-        self._started_s = clock()
         self.board = FactBoard()
         ports = GossipPorts(settings.gossip_port, settings.gossip_port)
         incarnation = max(0, int(wall_clock() * 1000))
-        me = Member(Role.ENTRY, settings.address, settings.zone, incarnation)
+        me = Member(
+            Role.ENTRY,
+            settings.address,
+            settings.zone,
+            incarnation,
+            capacity_cores=settings.capacity_cores,
+        )
         self.membership = Membership(
             me,
             ports,
@@ -57,24 +61,35 @@
         self._seeds = set(seeds)
         self.membership.set_seeds(seeds)
 
-    def sharing_limits(self) -> int:
-        """Return how many routers share the limits.
+    def part_of_limits(self) -> float:
+        """Return this router's part of what all routers together may do.
 
-        Those lately lost count too: they may be cut off and still spend their part. Before this
-        process can have heard of all, there are at least the seeds.
+        Routers that callers are told to use get most of it. Those lately lost count too: they may
+        be cut off and still use their part. Before this process can have heard of all, there are
+        at least the seeds.
         """
-        known = len(self.membership.table.members())
-        return max(known, len(self._seeds) + 1)
-
-    def has_settled(self, now_s: float) -> bool:
-        """Return whether this process had time to hear of all others."""
-        return now_s - self._started_s >= SETTLING_S
+        known = [_address(member) for member in self.membership.table.members()]
+        missing = max(0, len(self._seeds) + 1 - len(known))
+        strong = strong_routers(known)
+        weak = len(known) - len(strong)
+        if not weak:
+            return 1.0 / (len(known) + missing)
+        if any(router.host == self.membership.table.me.host for router in strong):
+            return STRONG_PART / (len(strong) + missing)
+        return (1.0 - STRONG_PART) / weak
 
     def taking_work(self) -> list[RouterAddress]:
         """Return the routers that take new work, this one too."""
         table = self.membership.table
-        return [
-            RouterAddress(member.host, member.zone, member.state is MemberState.SUSPECT)
-            for member in (table.me, *table.reachable())
-            if not member.leaving
-        ]
+        members = (table.me, *table.reachable())
+        return [_address(member) for member in members if not member.leaving]
+
+
+def _address(member: Member) -> RouterAddress:
+    return RouterAddress(
+        member.host,
+        member.zone,
+        member.state is MemberState.SUSPECT,
+        member.overloaded,
+        member.capacity_cores,
+    )
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -33,7 +33,7 @@
 class BackendPool:
     """Follows the view; condition outlives changes of a backend server's entry."""
 
-    __slots__ = ("_backends", "_random", "_routers", "_services", "_terms", "_view", "_zone")
+    __slots__ = ("_backends", "_part", "_random", "_services", "_terms", "_view", "_zone")
 
     def __init__(
         self, view: View, zone: str, terms: ExtraCallTerms, random_source: random.Random
@@ -44,18 +44,18 @@
         self._random = random_source
         self._services: dict[str, Service] = {}
         self._backends: dict[tuple[str, int], Backend] = {}
-        self._routers = 1
+        self._part = 1.0
         view.listen(self.refresh)
 
     @property
-    def routers(self) -> int:
-        """Return how many routers share the limits, those lately lost among them."""
-        return self._routers
-
-    def share_with(self, routers: int, now_s: float) -> None:
-        """Take how many routers share the limits."""
-        if routers != self._routers:
-            self._routers = max(1, routers)
+    def part(self) -> float:
+        """Return this router's part of what all routers together may do."""
+        return self._part
+
+    def limit_to(self, part: float, now_s: float) -> None:
+        """Take this router's part of what all routers together may do."""
+        if part != self._part:
+            self._part = part
             self.refresh(now_s)
 
     def limit(self, terms: ExtraCallTerms) -> None:
@@ -114,4 +114,4 @@
         table = self._view.table
         service = table.services.get(service_name) if table else None
         most = service.max_connections if service else DEFAULT_MAX_CONNECTIONS
-        return max(1, int(CONNECTION_SHARE * most / self._routers))
+        return max(1, int(CONNECTION_SHARE * most * self._part))
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -11,6 +11,7 @@
 from tornado.web import Application
 
 from fighinge.errors import Failure
+from fighinge.overload import OverloadSignal
 from fighinge.pauses import PauseWatch
 from fighinge.router.attempts import Attempts
 from fighinge.router.backend_calls import CurlBackendCalls
@@ -19,9 +20,10 @@
 from fighinge.router.follower import Follower
 from fighinge.router.http_server import CallerServer
 from fighinge.router.metrics import ROUTERS, VERSION
-from fighinge.router.peer_view import PATH, PeerFollower, ViewHandler, ViewServer
+from fighinge.router.peer_follower import PeerFollower, ReaderRole
 from fighinge.router.peers import Peers
 from fighinge.router.pool import BackendPool
+from fighinge.router.relay import Relay, relay_routes
 from fighinge.router.service import RouterService
 from fighinge.router.typical import TypicalTimes
 from fighinge.router.view import Topic, View
@@ -38,6 +40,8 @@
 HOUSEKEEPING_S = 0.1  # a tenth of the shortest time that anything kept here is valid for
 ADDRESS_KEEP_S = 2.0  # callers ask again as soon as they may; a lost router is left out sooner
 LISTEN_AFTER_SIGNAL_S = 2.5  # callers with an answer kept for the usual time have asked again
+FIRST_READ_AFTER_S = 2.0  # all routers start within 0.3 s, and callers come many seconds later
+READ_AFTER_S = 0.08  # a seed answers a router that is restarted within some milliseconds
 REREAD_SETTINGS_S = 5.0  # a change without a signal is in force within seconds
 FIXED_SETTINGS = (
     *("address", "zone", "caller_port", "readiness_port", "address_port", "control_port"),
@@ -90,12 +94,15 @@
         self.pauses = PauseWatch(steady_clock)
         self.pauses.listen(self._paused)
         self.view.listen(self._view_changed)
-        self.views = ViewServer(self.view, steady_clock)
+        self.relay = Relay(self.view)
+        start_wait_s = FIRST_READ_AFTER_S if settings.is_first_start else READ_AFTER_S
+        role = ReaderRole(self.view, self.peers, start_wait_s, steady_clock)
+        self._overload = OverloadSignal()
         self._peer_follower = PeerFollower.create(
             self.view, self.peers, settings.control_port, steady_clock, self._random
         )
         self._followers = [
-            Follower(source, topic, self.view, steady_clock, self._random)
+            Follower(source, topic, self.view, steady_clock, self._random, role.may_read)
             for topic, source in sources.items()
         ]
 
@@ -119,9 +126,9 @@
         self.spawn(self._reread_settings())
         self.spawn(self._peer_follower.run())
         self.spawn(self.peers.membership.run())
-        self.spawn(self.pauses.run())
+        self.spawn(self.pauses.run(self._ticked))
         self.spawn(self._keep_house())
-        control = Application([(PATH, ViewHandler, {"views": self.views})], log_function=_no_log)
+        control = Application(relay_routes(self.relay), log_function=_no_log)
         control.listen(self.settings.control_port, self.settings.address)
         self.callers.listen(self.settings.caller_port, self.settings.address)
         self.log.write(
@@ -183,9 +190,8 @@
         while True:
             now_s = steady_clock()
             self.view.expire(now_s)
-            routers = self.peers.sharing_limits()
-            self.pool.share_with(routers, now_s)
-            ROUTERS.set(routers)
+            self.pool.limit_to(self.peers.part_of_limits(), now_s)
+            ROUTERS.set(len(self.peers.taking_work()))
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_S)
 
@@ -200,6 +206,12 @@
             self.callers.limit(self.view.table.limits)
             VERSION.set(self.view.version)
 
+    def _ticked(self, lag_s: float) -> None:
+        """Tell peers when this process has more work than processor time."""
+        if self._overload.observe(lag_s):
+            self.log.write("overload", overloaded=self._overload.overloaded, lag_s=round(lag_s, 3))
+            self.peers.membership.table.change_me(overloaded=self._overload.overloaded)
+
     def _quarantined(self, fingerprint: str) -> None:
         self.log.write("request quarantined", fingerprint=fingerprint)
 
--- /dev/null
+++ b/fighinge/router/relay.py
@@ -0,0 +1,157 @@
+"""Passes the view on to routers that do not read the store themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import deque
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+
+from fighinge.router.changes import BackendListed, Change, TablePublished, ZoneEvacuated
+from fighinge.router.model import BackendEntry, RoutingTable
+from fighinge.router.view import Topic
+
+if TYPE_CHECKING:
+    from fighinge.router.view import View
+
+VIEW_PATH = "/view"
+CHANGES_PATH = "/changes"
+KEPT_CHANGES = 2000  # a data centre's backend servers, several times over
+LONGEST_WAIT_S = 30.0  # as long as a watch of the store
+CHECK_CONTACT_S = 0.25  # a relay that loses contact says so well within a second
+
+
+class PeerView(msgspec.Struct, frozen=True):
+    """Everything that a router in contact with its sources believes.
+
+    ``epoch`` names the process that tells it, ``sequence`` counts its changes.
+    """
+
+    epoch: str
+    sequence: int
+    table: RoutingTable | None
+    backends: tuple[BackendEntry, ...]
+    zones_out: tuple[str, ...]
+
+    def changes(self, topic: Topic) -> list[Change]:
+        """Return what is published of a topic."""
+        if topic is Topic.BACKENDS:
+            return [BackendListed(entry) for entry in self.backends]
+        zones: list[Change] = [ZoneEvacuated(zone) for zone in self.zones_out]
+        return zones + ([TablePublished(self.table)] if self.table else [])
+
+
+class PeerChanges(msgspec.Struct, frozen=True):
+    """What changed at a router up to a sequence number."""
+
+    sequence: int
+    changes: tuple[Change, ...]
+
+
+class Relay:
+    """Keeps the last changes of the view for peers that follow them."""
+
+    __slots__ = ("_changed", "_kept", "_sequence", "_view", "epoch")
+
+    def __init__(self, view: View) -> None:
+        self.epoch = secrets.token_hex(6)
+        self._view = view
+        self._kept: deque[tuple[int, Change]] = deque(maxlen=KEPT_CHANGES)
+        self._sequence = 0
+        self._changed = asyncio.Event()
+        view.listen_changes(self._take)
+
+    @property
+    def in_contact(self) -> bool:
+        """Return whether this router reads the store itself and is in contact with it."""
+        return all(self._view.is_in_contact(topic) for topic in Topic)
+
+    def view(self) -> PeerView:
+        """Return everything that is believed now."""
+        view = self._view
+        return PeerView(
+            self.epoch,
+            self._sequence,
+            view.table,
+            tuple(view.backends.values()),
+            tuple(sorted(view.zones_out)),
+        )
+
+    async def changes(self, epoch: str, after: int, wait_s: float) -> PeerChanges | None:
+        """Return what changed after a sequence number, none where that is not known.
+
+        :param wait_s: time after which the answer may hold no change
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + min(wait_s, LONGEST_WAIT_S)
+        while self.in_contact:
+            if epoch != self.epoch or not self._knows(after):
+                return None
+            if self._sequence > after:
+                changes = tuple(change for number, change in self._kept if number > after)
+                return PeerChanges(self._sequence, changes)
+            if loop.time() >= end_s:
+                return PeerChanges(self._sequence, ())
+            changed = self._changed
+            try:
+                async with asyncio.timeout(CHECK_CONTACT_S):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+        return None
+
+    def _knows(self, after: int) -> bool:
+        oldest = self._kept[0][0] if self._kept else self._sequence + 1
+        return oldest - 1 <= after <= self._sequence
+
+    def _take(self, changes: list[Change]) -> None:
+        for change in changes:
+            self._sequence += 1
+            self._kept.append((self._sequence, change))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class _RelayHandler(RequestHandler):
+    def initialize(self, relay: Relay) -> None:
+        self.relay = relay
+
+    def send(self, content: object | None) -> None:
+        """Answer, or tell that this router cannot be followed now."""
+        if content is None:
+            self.set_status(503)
+        else:
+            self.write(msgspec.msgpack.encode(content))
+        try:
+            self.finish()
+        except StreamClosedError:
+            return
+
+
+class ViewHandler(_RelayHandler):
+    """Serves the whole view."""
+
+    def get(self) -> None:
+        """Answer a peer."""
+        self.send(self.relay.view() if self.relay.in_contact else None)
+
+
+class ChangesHandler(_RelayHandler):
+    """Serves what changed, as soon as something does."""
+
+    async def get(self) -> None:
+        """Answer a peer."""
+        epoch = self.get_query_argument("epoch")
+        after = int(self.get_query_argument("after"))
+        wait_s = float(self.get_query_argument("wait_s"))
+        self.send(await self.relay.changes(epoch, after, wait_s))
+
+
+def relay_routes(relay: Relay) -> list[tuple]:
+    """Return the routes of the server for peers."""
+    context = {"relay": relay}
+    return [(VIEW_PATH, ViewHandler, context), (CHANGES_PATH, ChangesHandler, context)]
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -131,7 +131,7 @@
         route = self._view.routes.find(request.host.lower(), request.path)
         if route is None:
             route = self._view.routes.find(request.host.lower().partition(":")[0], request.path)
-        if route is None and not self._view.is_fresh(Topic.CONFIGURATION, self._clock()):
+        if route is None and not self._view.is_fresh(Topic.CONFIGURATION):
             return Failure(ErrorKind.NOT_READY, "no route is known, out of contact")
         if route is None:
             return Failure(ErrorKind.UNKNOWN_PATH, "no route has this host and path")
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -171,11 +171,11 @@
 
     def _takes_retry(self, now_s: float) -> bool:
         """Spend a call of the budget, unless it is scarce and the result can be done without."""
-        budget, routers = self.service.extra_calls, self._pool.routers
-        if budget.is_scarce(routers, now_s) and self._leave_out():
+        budget, part = self.service.extra_calls, self._pool.part
+        if budget.is_scarce(part, now_s) and self._leave_out():
             self._note("left out to save budget")
             return False
-        if not budget.take_retry(routers, now_s):
+        if not budget.take_retry(part, now_s):
             self._note("no budget for a retry")
             return False
         return True
@@ -209,7 +209,7 @@
     def _hedge(self, pending: dict[asyncio.Task, Backend], now_s: float) -> None:
         """Start a call beside the one in flight, if one is left that is likely to help."""
         budget = self.service.extra_calls
-        if not self._may_hedge() or not budget.has_hedge(self._pool.routers, now_s):
+        if not self._may_hedge() or not budget.has_hedge(self._pool.part, now_s):
             return
         typical_s = self._attempts.typical.typical_s(self._terms.kind)
         backend = self._pool.choose(self.service, typical_s, self._tried, now_s)
@@ -217,7 +217,7 @@
             return
         if now_s + backend.expected_s(typical_s, now_s) >= self._terms.hard_s:
             return
-        if budget.take_hedge(self._pool.routers, now_s):
+        if budget.take_hedge(self._pool.part, now_s):
             self._note("hedge")
             self._start(backend, pending, now_s)
 
--- a/fighinge/router/settings.py
+++ b/fighinge/router/settings.py
@@ -12,6 +12,7 @@
     routers together may send to a service beyond the first call of each request.
     ``cold_rate_factor`` and ``cold_rate_slack`` do so for a cold backend server's requests a
     second. ``stop_within_s`` is the time between the signal to stop and the kill.
+    ``is_first_start`` is true where all routers start at about the same time.
     """
 
     name: str
@@ -33,3 +34,5 @@
     cold_rate_factor: float
     cold_rate_slack: float
     max_address_keep_s: float
+    capacity_cores: float
+    is_first_start: bool
--- a/fighinge/router/view.py
+++ b/fighinge/router/view.py
@@ -23,7 +23,6 @@
     from fighinge.router.model import BackendEntry, RoutingTable
 
 RELIST_HOLD_S = 2.5  # entries lapsed in an outage are back within 2 s of its end
-RELAY_VALID_S = 1.5  # a peer in contact is asked three times within this
 
 
 class Topic(enum.Enum):
@@ -50,6 +49,8 @@
     """Takes changes from a source; a configuration version is never replaced by an older one."""
 
     __slots__ = (
+        "_applied",
+        "_change_listeners",
         "_contacts",
         "_held",
         "_listeners",
@@ -68,6 +69,8 @@
         self._held: dict[str, float] = {}
         self._contacts = {topic: _Contact() for topic in Topic}
         self._listeners: list[Callable[[float], None]] = []
+        self._change_listeners: list[Callable[[list[Change]], None]] = []
+        self._applied: list[Change] = []
         self.log = log
 
     @property
@@ -79,15 +82,18 @@
         """Call a listener with the present time after each change."""
         self._listeners.append(listener)
 
+    def listen_changes(self, listener: Callable[[list[Change]], None]) -> None:
+        """Call a listener with the changes that took effect."""
+        self._change_listeners.append(listener)
+
     def is_in_contact(self, topic: Topic) -> bool:
         """Return whether the source of a topic answers this router itself."""
         contact = self._contacts[topic]
         return contact.lost_s is None and contact.answered_s > float("-inf")
 
-    def is_fresh(self, topic: Topic, now_s: float) -> bool:
+    def is_fresh(self, topic: Topic) -> bool:
         """Return whether silence means that nothing changed, by the source or by a peer."""
-        relayed_s = self._contacts[topic].relayed_s
-        return self.is_in_contact(topic) or now_s - relayed_s < RELAY_VALID_S
+        return self.is_in_contact(topic) or bool(self._contacts[topic].relay)
 
     def out_of_contact_s(self, topic: Topic, now_s: float) -> float:
         """Return for how long the source has not answered, infinite if it never has."""
@@ -102,13 +108,31 @@
         return now_s - max(contact.answered_s, contact.relayed_s)
 
     def relayed(self, topic: Topic, peer: str, now_s: float) -> None:
-        """Note that a peer in contact with the source has the same view of a topic."""
+        """Note that a peer in contact with the source is followed for a topic."""
         contact = self._contacts[topic]
-        if now_s - contact.relayed_s >= RELAY_VALID_S or contact.relay != peer:
+        if contact.relay != peer:
             self.log.write("view relayed", topic=topic.value, peer=peer, version=self.version)
         contact.relayed_s = now_s
         contact.relay = peer
 
+    def relay_lost(self, topic: Topic, now_s: float) -> None:
+        """Note that no peer is followed for a topic any longer."""
+        contact = self._contacts[topic]
+        self.log.write(
+            "relay lost",
+            topic=topic.value,
+            peer=contact.relay,
+            age_s=round(now_s - contact.relayed_s, 3),
+        )
+        contact.relay = ""
+
+    def not_read(self, topic: Topic, now_s: float) -> None:
+        """Note that this router does not read the source of a topic itself."""
+        contact = self._contacts[topic]
+        if contact.lost_s is None and contact.answered_s > float("-inf"):
+            contact.lost_s = now_s
+            self.log.write("source left to peers", topic=topic.value, version=self.version)
+
     def answered(self, topic: Topic, now_s: float) -> None:
         """Note that the source of a topic answers."""
         contact = self._contacts[topic]
@@ -154,46 +178,48 @@
 
     def take(self, changes: Iterable[Change], now_s: float, *, from_peer: bool = False) -> None:
         """Take changes in the order in which they were made."""
-        changed = False
         for change in changes:
             if isinstance(change, BackendUnlisted) and from_peer:
-                changed = self._drop(change.instance_id, "unlisted, told by a peer") or changed
+                self._drop(change.instance_id, "unlisted, told by a peer")
             else:
-                changed = self._apply(change, now_s) or changed
-        if changed:
-            self._tell(now_s)
+                self._apply(change, now_s)
+        self._tell(now_s)
 
     def expire(self, now_s: float) -> None:
         """Drop backend servers whose entries were not written again after an outage."""
         due = [name for name, until_s in self._held.items() if until_s <= now_s]
         for name in due:
             self._drop(name, "unlisted, held after an outage")
-        if due:
-            self._tell(now_s)
+        self._tell(now_s)
 
     def _tell(self, now_s: float) -> None:
+        """Tell the listeners of what took effect, if anything did."""
+        if not self._applied:
+            return
+        applied, self._applied = self._applied, []
+        for tell_changes in self._change_listeners:
+            tell_changes(applied)
         for listener in self._listeners:
             listener(now_s)
 
-    def _apply(self, change: Change, now_s: float) -> bool:
+    def _apply(self, change: Change, now_s: float) -> None:
         match change:
             case TablePublished(table):
-                return self._put_in_force(table)
+                self._put_in_force(table)
             case BackendListed(entry):
-                return self._list(entry)
+                self._list(entry)
             case BackendUnlisted(name):
-                return self._unlist(name, now_s)
+                self._unlist(name, now_s)
             case ZoneEvacuated(zone):
-                return self._set_zone(zone, is_out=True)
+                self._set_zone(zone, is_out=True)
             case ZoneReturned(zone):
-                return self._set_zone(zone, is_out=False)
+                self._set_zone(zone, is_out=False)
             case Unreadable(key, reason):
                 self.log.write("published value unreadable", key=key, reason=reason)
-        return False
 
-    def _put_in_force(self, table: RoutingTable) -> bool:
+    def _put_in_force(self, table: RoutingTable) -> None:
         if table.version <= self.version:
-            return False
+            return
         self.log.write(
             "configuration in force",
             version=table.version,
@@ -203,14 +229,15 @@
         )
         self.table = table
         self.routes = RouteIndex(table.routes)
-        return True
+        self._applied.append(TablePublished(table))
 
-    def _list(self, entry: BackendEntry) -> bool:
+    def _list(self, entry: BackendEntry) -> None:
         self._held.pop(entry.instance_id, None)
         known = self.backends.get(entry.instance_id)
         if known == entry:
-            return False
+            return
         self.backends[entry.instance_id] = entry
+        self._applied.append(BackendListed(entry))
         if known is None or known.is_draining != entry.is_draining:
             self.log.write(
                 "backend server listed",
@@ -221,29 +248,28 @@
                 draining=entry.is_draining,
                 cold_left_s=entry.cold_left_s,
             )
-        return True
 
-    def _unlist(self, name: str, now_s: float) -> bool:
+    def _unlist(self, name: str, now_s: float) -> None:
         if name not in self.backends:
-            return False
+            return
         contact = self._contacts[Topic.BACKENDS]
         held_until_s = contact.regained_s + RELIST_HOLD_S
         if contact.lost_s is None and now_s >= held_until_s:
-            return self._drop(name, "unlisted")
+            self._drop(name, "unlisted")
+            return
         self._held.setdefault(name, max(held_until_s, now_s + RELIST_HOLD_S))
-        return False
 
-    def _drop(self, name: str, cause: str) -> bool:
+    def _drop(self, name: str, cause: str) -> None:
         entry = self.backends.pop(name, None)
         if entry is None:
-            return False
+            return
         self._held.pop(name, None)
+        self._applied.append(BackendUnlisted(name))
         self.log.write("backend server gone", backend=name, service=entry.service, cause=cause)
-        return True
 
-    def _set_zone(self, zone: str, *, is_out: bool) -> bool:
+    def _set_zone(self, zone: str, *, is_out: bool) -> None:
         if (zone in self.zones_out) == is_out:
-            return False
+            return
+        self._applied.append(ZoneEvacuated(zone) if is_out else ZoneReturned(zone))
         (self.zones_out.add if is_out else self.zones_out.discard)(zone)
         self.log.write("zone", zone=zone, out_of_service=is_out)
-        return True
--- /dev/null
+++ b/tests/router/test_relay.py
@@ -0,0 +1,219 @@
+"""Tests of routers that follow a peer instead of the store, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+
+from fighinge.configuration.readers import READERS_PER_ZONE, is_reader
+from fighinge.membership.member import Member, MemberState, Role
+from fighinge.membership.table import MemberTable
+from fighinge.router.addresses import RouterAddress, choose_routers
+from fighinge.router.changes import (
+    BackendListed,
+    BackendUnlisted,
+    TablePublished,
+    ZoneEvacuated,
+    ZoneReturned,
+)
+from fighinge.router.peer_follower import READ_ALONE_AFTER_S, ReaderRole
+from fighinge.router.peers import Peers
+from fighinge.router.relay import KEPT_CHANGES, Relay
+from fighinge.router.settings import RouterSettings
+from fighinge.router.view import Topic, View
+from tests.router.builders import MemoryLog, entry, route, table
+from tests.virtual_time import run
+
+NOW_S = 1000.0
+
+
+def _view(*, in_contact=True):
+    view = View(MemoryLog())
+    for topic in Topic:
+        if in_contact:
+            view.answered(topic, NOW_S)
+    return view
+
+
+def test_follower_has_the_same_view_after_each_change():
+    async def follow():
+        source, follower = _view(), _view(in_contact=False)
+        relay = Relay(source)
+        whole = relay.view()
+        for topic in Topic:
+            follower.replace(topic, whole.changes(topic), NOW_S, from_peer=True)
+        sequence = whole.sequence
+        for changes in (
+            [TablePublished(table(route(), version=3)), BackendListed(entry("i1"))],
+            [BackendListed(entry("i2")), ZoneEvacuated("z1")],
+            [BackendUnlisted("i1"), ZoneReturned("z1")],
+        ):
+            waiting = asyncio.create_task(relay.changes(relay.epoch, sequence, 10.0))
+            await asyncio.sleep(0.05)
+            source.take(changes, NOW_S)
+            told = await waiting
+            sequence = told.sequence
+            follower.take(told.changes, NOW_S, from_peer=True)
+            assert follower.backends == source.backends
+            assert follower.zones_out == source.zones_out
+            assert follower.version == source.version == 3
+        return True
+
+    assert run(follow())
+
+
+def test_server_that_is_held_after_an_outage_is_not_told_as_gone():
+    async def follow():
+        source = _view()
+        relay = Relay(source)
+        source.take([BackendListed(entry("i1"))], NOW_S)
+        source.lost(Topic.BACKENDS, "silent", NOW_S)
+        source.answered(Topic.BACKENDS, NOW_S + 1)
+        before = relay.view().sequence
+        source.take([BackendUnlisted("i1")], NOW_S + 1)
+        held = relay.view().sequence
+        source.expire(NOW_S + 10)
+        return before, held, await relay.changes(relay.epoch, held, 0.0)
+
+    before, held, told = run(follow())
+    assert held == before
+    assert told.changes == (BackendUnlisted("i1"),)
+
+
+def test_router_out_of_contact_cannot_be_followed():
+    async def follow():
+        source = _view()
+        relay = Relay(source)
+        waiting = asyncio.create_task(relay.changes(relay.epoch, 0, 20.0))
+        await asyncio.sleep(1.0)
+        source.lost(Topic.CONFIGURATION, "silent", NOW_S)
+        started_s = asyncio.get_running_loop().time()
+        return await waiting, asyncio.get_running_loop().time() - started_s
+
+    told, took_s = run(follow())
+    assert told is None
+    assert took_s < 0.5
+
+
+def test_changes_of_another_process_or_too_long_ago_are_not_known():
+    async def follow():
+        source = _view()
+        relay = Relay(source)
+        for number in range(KEPT_CHANGES + 10):
+            source.take([BackendListed(entry("i1", slots=number + 1))], NOW_S)
+        return (
+            await relay.changes("other", 0, 1.0),
+            await relay.changes(relay.epoch, 5, 1.0),
+            await relay.changes(relay.epoch, KEPT_CHANGES, 1.0),
+        )
+
+    other, old, known = run(follow())
+    assert other is None and old is None
+    assert len(known.changes) == 10
+
+
+def _settings(number=0, *, zone="z1", capacity_cores=1.0):
+    return RouterSettings(
+        name=f"front-{number}",
+        address=f"10.0.0.{number}",
+        zone=zone,
+        region="r",
+        region_by_zone={},
+        caller_port=1,
+        readiness_port=2,
+        address_port=3,
+        control_port=4,
+        gossip_port=5,
+        seeds=(),
+        platform_address="",
+        stop_within_s=6.0,
+        extra_calls_share=0.2,
+        extra_calls_window_s=10.0,
+        extra_calls_slack=56.0,
+        cold_rate_factor=1.0,
+        cold_rate_slack=0.0,
+        max_address_keep_s=5.0,
+        capacity_cores=capacity_cores,
+        is_first_start=True,
+    )
+
+
+def _peers(members, me):
+    """Return the peers as one of the members sees them."""
+    mine = members[me]
+    settings = _settings(me, zone=mine.zone, capacity_cores=mine.capacity_cores)
+    peers = Peers(settings, lambda: NOW_S, lambda: 1.0, random.Random(1))
+    for member in members:
+        if member.host != mine.host:
+            peers.membership.table.apply(member, NOW_S, "test")
+    return peers
+
+
+def _members(*capacities, zones=3):
+    return [
+        Member(Role.ENTRY, f"10.0.0.{number}", f"z{number % zones + 1}", 1, capacity_cores=cores)
+        for number, cores in enumerate(capacities)
+    ]
+
+
+def test_parts_of_all_routers_make_up_one():
+    for members in (_members(*[1.0] * 8), _members(*[2.15] * 6, *[0.516] * 30)):
+        parts = [_peers(members, number).part_of_limits() for number in range(len(members))]
+        assert abs(sum(parts) - 1.0) < 1e-9
+
+
+def test_lost_router_keeps_its_part():
+    members = _members(*[1.0] * 4)
+    peers = _peers(members, 0)
+    lost = members[1].with_state(MemberState.DEAD)
+    peers.membership.table.apply(lost, NOW_S, "test")
+    assert peers.part_of_limits() == 0.25
+
+
+def test_strong_hosts_serve_callers_where_hosts_are_unequal():
+    routers = [
+        RouterAddress(f"10.0.0.{number}", f"z{number % 3 + 1}", capacity_cores=cores)
+        for number, cores in enumerate([2.15] * 6 + [0.516] * 30)
+    ]
+    for zone in ("z1", "z2", "z3"):
+        chosen = choose_routers(routers, zone, {"z1": "r", "z2": "r", "z3": "r"})
+        assert all(router.capacity_cores == 2.15 for router in chosen)
+        assert [router.zone for router in chosen].count(zone) == 2
+
+
+def test_weak_hosts_serve_where_too_few_strong_ones_are_left_or_these_are_overloaded():
+    few = [RouterAddress(f"s{number}", "z1", capacity_cores=2.0) for number in range(2)]
+    weak = [RouterAddress(f"w{number}", "z1", capacity_cores=0.5) for number in range(4)]
+    assert len(choose_routers(few + weak, "z1", {})) == 6
+    busy = [
+        RouterAddress(f"s{number}", "z1", is_overloaded=True, capacity_cores=2.0)
+        for number in range(4)
+    ]
+    assert {router.host[0] for router in choose_routers(busy + weak, "z1", {})} == {"w"}
+
+
+def test_few_routers_of_each_data_centre_read_the_store():
+    members = _members(*[1.0] * 30)
+    readers: Counter[str] = Counter()
+    for number, member in enumerate(members):
+        table_of_member = _peers(members, number).membership.table
+        assert isinstance(table_of_member, MemberTable)
+        readers[member.zone] += is_reader(table_of_member)
+    assert set(readers.values()) == {READERS_PER_ZONE}
+
+
+def test_router_that_finds_nobody_to_follow_reads_after_a_while():
+    members = _members(*[1.0] * 30)
+    number = next(
+        number for number in range(30) if not is_reader(_peers(members, number).membership.table)
+    )
+    clock_s = [NOW_S]
+    view = _view(in_contact=False)
+    role = ReaderRole(view, _peers(members, number), 0.0, lambda: clock_s[0])
+    assert not role.may_read()
+    clock_s[0] += READ_ALONE_AFTER_S
+    assert role.may_read()
+    for topic in Topic:
+        view.relayed(topic, "10.0.0.1", clock_s[0])
+    assert not role.may_read()
