Soak router processes under drawn faults and check their promises

Change: tests/platform/soak.py plays a seed on three routers as processes: signals, pauses, the store busy, reset, silent or forgetful, servers that lose answers, fail, shed or leave, a proxy that delays, resets, silences and cuts one way, evacuations, configurations; they overlap. tests/platform/promises.py judges from what callers and servers saw, and has its own tests. One seed runs with the tests.

Seed 2 first ended in a time-out of the soak itself: it waited for the process that had been started anew.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed-$(shell cksum requirements.lock | cut -d' ' -f1)
 
-.PHONY: run serve test lint format bench soak generate
+.PHONY: run serve test lint format bench soak histories generate
 
 $(STAMP): requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -34,7 +34,11 @@
 	-$(RUN) -m benchmarks.capacity >/dev/null
 
 SEED ?= 1
-soak: $(STAMP)  ## Check many more drawn histories than the tests do
+MINUTES ?= 5
+soak: $(STAMP)  ## Play seeds of faults against router processes and check the promises
+	$(RUN) -m tests.platform.soak --seed $(SEED) --minutes $(MINUTES)
+
+histories: $(STAMP)  ## Check many more drawn histories than the tests do
 	$(RUN) -m tests.soak --seed $(SEED)
 
 generate: $(STAMP)  ## Re-make the committed protobuf code
--- /dev/null
+++ b/standins/faulty_proxy.py
@@ -0,0 +1,78 @@
+"""A loopback proxy that delays, resets, silences or cuts connections one way."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+RESET = struct.pack("ii", 1, 0)
+CHUNK_BYTES = 65_536
+MODES = ("", "delay", "reset", "silent", "cut_answers", "cut_requests")
+
+
+class FaultyProxy:
+    """Forwards to one address; ``mode`` holds for open and for new connections."""
+
+    def __init__(self, target_host: str, target_port: int, delay_s: float = 0.05) -> None:
+        self.mode = ""
+        self.port = 0
+        self._target = (target_host, target_port)
+        self._delay_s = delay_s
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Refuse new connections and drop the open ones."""
+        self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset every open connection."""
+        for writer in self._writers:
+            _reset(writer)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.mode == "reset":
+            _reset(writer)
+            return
+        try:
+            target_reader, target_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            _reset(writer)
+            return
+        self._writers |= {writer, target_writer}
+        await asyncio.gather(
+            self._copy(reader, target_writer, "cut_requests"),
+            self._copy(target_reader, writer, "cut_answers"),
+            return_exceptions=True,
+        )
+        self._writers -= {writer, target_writer}
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut_mode: str
+    ) -> None:
+        """Pass bytes on until an end; a silenced direction drops them and keeps the connection."""
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.mode == "delay":
+                    await asyncio.sleep(self._delay_s)
+                if self.mode == "reset":
+                    _reset(writer)
+                elif self.mode not in ("silent", cut_mode):
+                    writer.write(data)
+                    await writer.drain()
+        finally:
+            writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -161,11 +161,13 @@
         :raises TimeoutError: if it runs on
         """
 
+        process = self.processes[number]
+
         async def has_exited() -> bool:
-            return self.processes[number].poll() is not None
+            return process.poll() is not None
 
         await until(has_exited, within_s)
-        return self.processes[number].returncode
+        return process.returncode
 
     def lines(self, number: int) -> list[dict]:
         """Return a router's log."""
--- /dev/null
+++ b/tests/platform/promises.py
@@ -0,0 +1,90 @@
+"""What callers and backend servers may see of routers, checked on what they saw."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+
+import msgspec
+
+from fighinge.router.gather import RECORD_BYTES
+from standins.shard_server import Run, records
+
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+MAX_ATTEMPTS = 2
+TOP_RECORDS = 5
+MIN_COVERAGE = 0.75
+
+
+class Seen(msgspec.Struct):
+    """A request of a caller and the answer to it; status 0 where there was none."""
+
+    request_id: str
+    route: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def violations(seen: list[Seen], runs: list[Run], shards: int) -> list[str]:
+    """Return every promise that was broken."""
+    by_request: dict[str, list[Run]] = {}
+    for run in runs:
+        by_request.setdefault(run.request_id, []).append(run)
+    asked = {item.request_id for item in seen}
+    found = [f"{name}: ran and nobody asked" for name in by_request.keys() - asked]
+    for item in seen:
+        own = by_request.get(item.request_id, [])
+        found += [
+            f"{item.request_id} ({item.route}): {fault}" for fault in _faults(item, own, shards)
+        ]
+    return found
+
+
+def _faults(item: Seen, runs: list[Run], shards: int) -> list[str]:
+    faults = []
+    if item.status in PROMISES_NOT_RUN and runs and item.route == "once":
+        faults.append(f"told {item.status} and ran")
+    if item.route == "once" and len(runs) > 1:
+        faults.append(f"ran {len(runs)} times")
+    per_service = Counter(run.service for run in runs)
+    faults += [
+        f"ran {count} times at {service}"
+        for service, count in per_service.items()
+        if count > MAX_ATTEMPTS
+    ]
+    if item.status == 200:
+        check = _gather_faults if item.route == "all" else _single_faults
+        faults += check(item, runs, shards)
+    return faults
+
+
+def _single_faults(item: Seen, runs: list[Run], _shards: int) -> list[str]:
+    stamps = {f"{run.instance_id}.{run.request_id}": run.service for run in runs}
+    service = stamps.get(item.headers.get("x-server-stamp", ""))
+    if service is None:
+        return ["the signature is of no run"]
+    return [] if item.body == records(service) else ["the body is not the server's"]
+
+
+def _gather_faults(item: Seen, runs: list[Run], shards: int) -> list[str]:
+    stamps = {f"{run.instance_id}.{run.request_id}": run.service for run in runs}
+    told = [text.strip() for text in item.headers["x-part-stamps"].split(",")]
+    services = [stamps.get(stamp) for stamp in told]
+    if None in services:
+        return ["a signature is of no run"]
+    faults = []
+    if len(set(services)) != len(services):
+        faults.append("a shard is in twice")
+    if len(services) + int(item.headers["x-missing-parts"]) != shards:
+        faults.append("parts and missing parts do not make up the shards")
+    if len(services) < MIN_COVERAGE * shards:
+        faults.append("fewer shards than allowed")
+    everything = [
+        body[at : at + RECORD_BYTES]
+        for body in map(records, services)
+        for at in range(0, len(body), RECORD_BYTES)
+    ]
+    if item.body != b"".join(heapq.nlargest(TOP_RECORDS, everything)):
+        faults.append("the body is not the greatest records of the parts")
+    return faults
--- /dev/null
+++ b/tests/platform/soak.py
@@ -0,0 +1,262 @@
+"""A randomized soak: router processes under faults from outside, promises checked meanwhile.
+
+``python -m tests.platform.soak --seed 7 --minutes 2`` plays seed 7 and the ones after it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import defopt
+import msgspec
+
+from standins.faulty_proxy import MODES, FaultyProxy
+from standins.shard_server import ShardServer
+from tests.platform.fleet import (
+    FRONT_PORT,
+    SHARDS,
+    START_LIMIT_S,
+    ZONES,
+    CallerConnection,
+    RouterFleet,
+)
+from tests.platform.promises import Seen, violations
+
+FAULTS_S = 8.0  # a round: faults overlap for this long, then everything is sound again
+RECOVER_S = 5.0  # after the last fault: suspicion of a lost router lasts up to 6 s, less one probe
+CALLERS = 6
+ROUTERS = 3
+PAUSE_BETWEEN_FAULTS_S = 0.4
+PROXY_PORT = 9400
+FIRST_NETWORK, NETWORKS = 100, 100
+SERVED_AFTER = 0.95  # of the requests after the recovery
+
+
+class Outcome(msgspec.Struct):
+    """What a round of a seed showed."""
+
+    seed: int
+    faults: list[str]
+    violations: list[str]
+    statuses: dict[int, int]
+    served_after: float
+
+    @property
+    def is_good(self) -> bool:
+        """Return whether no promise was broken and service came back."""
+        return not self.violations and self.served_after >= SERVED_AFTER
+
+
+class SoakFleet(RouterFleet):
+    """A fleet whose backend servers stand behind proxies."""
+
+    def __init__(self, directory: Path, network: int, routers: int) -> None:
+        super().__init__(directory, network, routers)
+        self.proxies: list[FaultyProxy] = []
+
+    async def stop(self) -> None:
+        """Stop the proxies too."""
+        for number in self.processes:
+            self.signal(number, signal.SIGCONT)
+        for proxy in self.proxies:
+            proxy.stop()
+        await super().stop()
+
+    async def add_server(self, service: str, zone: str, **changes) -> ShardServer:
+        """Start a backend server and list its proxy's address."""
+        server = await super().add_server(service, zone, **changes)
+        proxy = FaultyProxy(server.host, server.port)
+        await proxy.start(f"127.{self.network}.7.1", PROXY_PORT + len(self.servers))
+        self.proxies.append(proxy)
+        await self.store.put(f"servers/{server.instance_id}", self.listed(server, proxy))
+        return server
+
+    @staticmethod
+    def listed(server: ShardServer, proxy: FaultyProxy, state: str = "ready") -> dict:
+        """Return what a backend server writes of itself."""
+        host = server.host.replace(".8.1", ".7.1")
+        return server.entry(state) | {"address": f"{host}:{proxy.port}"}
+
+
+class Round:
+    """One seed's faults, callers and verdict."""
+
+    def __init__(self, fleet: SoakFleet, seed: int) -> None:
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._seed = seed
+        self._seen: list[Seen] = []
+        self._played: list[str] = []
+        self._is_over = False
+
+    async def run(self) -> Outcome:
+        """Play and judge."""
+        callers = [asyncio.create_task(self._call(number)) for number in range(CALLERS)]
+        end_s = time.monotonic() + FAULTS_S
+        tasks = []
+        while time.monotonic() < end_s:
+            tasks.append(asyncio.create_task(self._fault()))
+            await asyncio.sleep(self._random.uniform(0.5, 1.5) * PAUSE_BETWEEN_FAULTS_S)
+        await asyncio.gather(*tasks)
+        await self._make_sound()
+        await asyncio.sleep(RECOVER_S)
+        before = len(self._seen)
+        await asyncio.sleep(1.5)
+        after = self._seen[before:]
+        self._is_over = True
+        await asyncio.gather(*callers)
+        served = sum(item.status == 200 for item in after) / max(1, len(after))
+        statuses = dict(Counter(item.status for item in self._seen))
+        broken = violations(self._seen, self._fleet.runs, SHARDS)
+        return Outcome(self._seed, self._played, broken, statuses, round(served, 3))
+
+    async def _call(self, number: int) -> None:
+        """Send requests on a kept connection to a router, until the process is gone."""
+        caller = random.Random(self._seed * 1000 + number)
+        router = number % ROUTERS
+        connection = CallerConnection(self._fleet.address(router), FRONT_PORT)
+        while not self._is_over:
+            route = caller.choice(("all", "all", "one", "once"))
+            method = "POST" if route == "once" else "GET"
+            request_id, data = self._fleet.request(f"/{route}/x", method=method, patience_ms=1500)
+            reply = await connection.send(data)
+            seen = Seen(request_id, route, reply.status, reply.headers, reply.body)
+            self._seen.append(seen)
+            if reply.status == 0 or reply.headers.get("connection") == "close":
+                connection.close()
+                router = caller.randrange(ROUTERS)
+                connection = CallerConnection(self._fleet.address(router), FRONT_PORT)
+            await asyncio.sleep(0.02)
+        connection.close()
+
+    async def _fault(self) -> None:
+        faults = (
+            *(self._restart, self._kill, self._pause, self._hang_up, self._store, self._history),
+            *(self._proxy, self._proxy, self._server, self._leave, self._configure, self._evacuate),
+        )
+        fault = self._random.choice(faults)
+        length_s = self._random.uniform(0.3, 2.0)
+        number = self._random.randrange(ROUTERS)
+        self._played.append(f"{fault.__name__.strip('_')} {length_s:.1f}s router {number}")
+        await fault(number, length_s)
+
+    async def _restart(self, number: int, _length_s: float) -> None:
+        await self._end(number, signal.SIGTERM)
+
+    async def _kill(self, number: int, _length_s: float) -> None:
+        await self._end(number, signal.SIGKILL)
+
+    async def _end(self, number: int, what: signal.Signals) -> None:
+        """End a router that runs, and start it again."""
+        process = self._fleet.processes[number]
+        if process.poll() is not None:
+            return
+        self._fleet.signal(number, signal.SIGCONT)
+        self._fleet.signal(number, what)
+        await self._fleet.exited(number, START_LIMIT_S)
+        if process is self._fleet.processes[number]:
+            self._fleet.start_router(number)
+
+    async def _pause(self, number: int, length_s: float) -> None:
+        self._fleet.signal(number, signal.SIGSTOP)
+        await asyncio.sleep(length_s)
+        self._fleet.signal(number, signal.SIGCONT)
+
+    async def _hang_up(self, number: int, _length_s: float) -> None:
+        self._fleet.signal(number, signal.SIGHUP)
+
+    async def _store(self, number: int, length_s: float) -> None:
+        store = self._fleet.store
+        store.fault = self._random.choice(("busy", "reset", "silent"))
+        everybody = self._random.random() < 0.5
+        store.refused_callers = set() if everybody else {self._fleet.address(number)}
+        await asyncio.sleep(length_s)
+        store.fault = ""
+
+    async def _history(self, _number: int, _length_s: float) -> None:
+        await self._fleet.store.forget_history()
+
+    async def _proxy(self, _number: int, length_s: float) -> None:
+        proxy = self._random.choice(self._fleet.proxies)
+        proxy.mode = self._random.choice(MODES[1:])
+        await asyncio.sleep(length_s)
+        proxy.mode = ""
+        proxy.reset_connections()
+
+    async def _server(self, _number: int, length_s: float) -> None:
+        server = self._random.choice(self._fleet.servers)
+        server.fault = self._random.choice(("lose", "error", "shed"))
+        server.fault_every = self._random.choice((1, 2, 5))
+        await asyncio.sleep(length_s)
+        server.fault = ""
+
+    async def _leave(self, _number: int, length_s: float) -> None:
+        """Drain a backend server and list it again under a new start."""
+        at = self._random.randrange(len(self._fleet.servers))
+        server, proxy = self._fleet.servers[at], self._fleet.proxies[at]
+        key = f"servers/{server.instance_id}"
+        await self._fleet.store.put(key, self._fleet.listed(server, proxy, "draining"))
+        await asyncio.sleep(length_s)
+        await self._fleet.store.delete(key)
+        server.started_ms += 1
+        await self._fleet.store.put(key, self._fleet.listed(server, proxy))
+
+    async def _configure(self, _number: int, _length_s: float) -> None:
+        await self._fleet.configure()
+
+    async def _evacuate(self, _number: int, length_s: float) -> None:
+        zone = self._random.choice(ZONES)
+        await self._fleet.store.put(f"op/evacuate/{zone}", {})
+        await asyncio.sleep(length_s)
+        await self._fleet.store.delete(f"op/evacuate/{zone}")
+
+    async def _make_sound(self) -> None:
+        """End every fault and have every router run."""
+        self._fleet.store.fault = ""
+        for proxy in self._fleet.proxies:
+            proxy.mode = ""
+        for number, process in list(self._fleet.processes.items()):
+            if process.poll() is not None:
+                self._fleet.start_router(number)
+            await self._fleet.ready(number)
+
+
+async def play(seed: int, directory: Path) -> Outcome:
+    """Play one seed on a fleet of its own."""
+    fleet = SoakFleet(directory, FIRST_NETWORK + seed % NETWORKS, ROUTERS)
+    try:
+        await fleet.start()
+        return await Round(fleet, seed).run()
+    finally:
+        await fleet.stop()
+
+
+def soak(*, seed: int = 1, minutes: float = 1.0, rounds: int = 0) -> None:
+    """Play seeds one after the other and tell which of them broke a promise.
+
+    :param seed: the first seed
+    :param minutes: how long to go on
+    :param rounds: play so many seeds instead
+    """
+    end_s = time.monotonic() + 60 * minutes
+    failed = 0
+    played = 0
+    while played < rounds if rounds else time.monotonic() < end_s:
+        with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as directory:
+            outcome = asyncio.run(play(seed + played, Path(directory)))
+        print(msgspec.json.encode(outcome).decode(), flush=True)
+        failed += not outcome.is_good
+        played += 1
+    print(f"{played} seeds, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(soak)
--- /dev/null
+++ b/tests/platform/test_promises.py
@@ -0,0 +1,75 @@
+"""Tests that each promise of the soak notices its breach."""
+
+from __future__ import annotations
+
+import heapq
+
+import pytest
+
+from fighinge.router.gather import RECORD_BYTES
+from standins.shard_server import Run, records
+from tests.platform.promises import Seen, violations
+
+SHARDS = 4
+
+
+def _run(service, request_id="r1", instance="i1"):
+    return Run(request_id, instance, service, "GET", "/x", b"", 1.0)
+
+
+def _single(status=200, *, route="one", stamp="i1.r1", body=None):
+    body = records("single") if body is None else body
+    return Seen("r1", route, status, {"x-server-stamp": stamp}, body)
+
+
+def _gathered(services, *, missing=0, stamps=None, body=None):
+    if body is None:
+        split = [
+            content[at : at + RECORD_BYTES]
+            for content in map(records, services)
+            for at in range(0, len(content), RECORD_BYTES)
+        ]
+        body = b"".join(heapq.nlargest(5, split))
+    stamps = stamps or [f"{service}.r1" for service in services]
+    headers = {"x-part-stamps": ", ".join(stamps), "x-missing-parts": str(missing)}
+    return Seen("r1", "all", 200, headers, body)
+
+
+ALL = [f"shard{number}" for number in range(SHARDS)]
+ALL_RUNS = [_run(service, instance=service) for service in ALL]
+
+
+@pytest.mark.parametrize(
+    ("seen", "runs"),
+    [
+        (_single(), [_run("single")]),
+        (_single(503, route="once"), []),
+        (_gathered(ALL), ALL_RUNS),
+        (_gathered(ALL[:3], missing=1), ALL_RUNS),
+    ],
+)
+def test_kept_promises(seen, runs):
+    assert violations([seen], runs, SHARDS) == []
+
+
+@pytest.mark.parametrize(
+    ("seen", "runs", "fault"),
+    [
+        (_single(502, route="once"), [_run("single"), _run("single")], "ran 2 times"),
+        (_single(429, route="once"), [_run("single")], "told 429 and ran"),
+        (_single(502), [_run("single")] * 3, "ran 3 times at single"),
+        (_single(stamp="other"), [_run("single")], "signature"),
+        (_single(body=b"half"), [_run("single")], "not the server's"),
+        (_single(), [_run("single"), _run("single", "r2")], "nobody asked"),
+        (_gathered(ALL[:2], missing=2), ALL_RUNS, "fewer shards"),
+        (_gathered(ALL[:3], missing=0), ALL_RUNS, "do not make up"),
+        (_gathered(ALL, body=b"x" * 80), ALL_RUNS, "greatest records"),
+        (
+            _gathered(ALL, stamps=[*(f"{name}.r1" for name in ALL[:3]), "shard0.r1"]),
+            ALL_RUNS,
+            "twice",
+        ),
+    ],
+)
+def test_broken_promises_are_found(seen, runs, fault):
+    assert any(fault in found for found in violations([seen], runs, SHARDS))
--- /dev/null
+++ b/tests/platform/test_soak.py
@@ -0,0 +1,19 @@
+"""A short run of the soak: one seed, and every seed that ever failed."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.platform.soak import play
+
+SHORT_SEED = 1
+FAILED_SEEDS = ()  # (seed, cause) of each seed that ever broke a promise
+
+
+@pytest.mark.parametrize("seed", [SHORT_SEED, *(seed for seed, _ in FAILED_SEEDS)])
+def test_seed_breaks_no_promise(seed, tmp_path):
+    outcome = asyncio.run(play(seed, tmp_path))
+    assert outcome.violations == []
+    assert outcome.is_good, outcome
