Bound what all routers send to a cold backend server, and remove what nothing uses

Cause: a service may name what a cold server bears; the router preferred warm servers but bounded nothing.

Change: cold_limit.py gives each router whole requests of any second by rendezvous hash; three quarters of the bound together. Removed: a refund of the budget, two fields and a list that nothing read.

--- a/fighinge/platform/words.py
+++ b/fighinge/platform/words.py
@@ -111,7 +111,6 @@
             signature=values.get(SIGNATURE.lower(), ""),
             was_not_run=NOT_EXECUTED.lower() in values or response.status == 421,
             is_other_instance=response.status == 421,
-            is_leaving="close" in _connection_options(values.get("connection", "")),
             load=_load(values.get(LOAD.lower())),
             cold_left_s=_milliseconds(values.get(COLD_LEFT.lower())),
         )
--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from fighinge.aggregator.base import CallFailure, CallFault
+from fighinge.router.cold_limit import ColdCalls
 from fighinge.router.exchange import BackendResponse
 
 if TYPE_CHECKING:
@@ -42,6 +43,7 @@
 
     __slots__ = (
         "_calls",
+        "_cold_calls",
         "_cold_until_s",
         "_down_s",
         "_down_until_s",
@@ -56,9 +58,9 @@
         "_silent_timeouts",
         "_slowness",
         "_slowness_s",
+        "cold_allowance",
         "connection_quota",
         "entry",
-        "is_leaving",
     )
 
     def __init__(self, entry: BackendEntry, log: DecisionLog, now_s: float) -> None:
@@ -66,7 +68,8 @@
         self._log = log
         self._is_slow = False
         self.connection_quota = 1
-        self.is_leaving = False
+        self.cold_allowance: int | None = None
+        self._cold_calls = ColdCalls()
         self._calls: dict[int, _Call] = {}
         self._next_call = 0
         self._slowness = 1.0
@@ -101,8 +104,15 @@
             not self.entry.is_draining
             and now_s >= self._down_until_s
             and len(self._calls) < self.connection_quota
+            and not self.is_at_cold_limit(now_s)
         )
 
+    def is_at_cold_limit(self, now_s: float) -> bool:
+        """Return whether the server is cold and has had this router's calls of the second."""
+        if self.cold_allowance is None or not self.is_cold(now_s):
+            return False
+        return self._cold_calls.is_full(self.cold_allowance, now_s)
+
     def is_down(self, now_s: float) -> bool:
         """Return whether the last contact showed that nothing answers."""
         return now_s < self._down_until_s
@@ -137,6 +147,8 @@
         """Count a call and return its number."""
         self._next_call += 1
         self._calls[self._next_call] = _Call(now_s, typical_s)
+        if self.is_cold(now_s):
+            self._cold_calls.started(now_s)
         return self._next_call
 
     def abandoned(self, number: int, now_s: float) -> None:
--- /dev/null
+++ b/fighinge/router/cold_limit.py
@@ -0,0 +1,62 @@
+"""How many requests this router may send to a cold backend server in a second.
+
+All routers together may send a bounded number, and a server over that crashes. Each gets whole
+requests of its own by rendezvous hash, so that the sum holds without agreement among routers that
+know of each other; those lately lost keep theirs.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fighinge.ownership import rendezvous_weight
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+SPAN_S = 1.0  # the bound holds for any second
+SAFETY = 0.75  # requests on their way arrive closer together than they were sent
+
+
+class ColdTerms(msgspec.Struct, frozen=True):
+    """What all routers together may send to a cold server: ``factor`` times its rate and slack."""
+
+    factor: float
+    slack: float
+
+
+def allowance(
+    requests_per_s: float, terms: ColdTerms, routers: Collection[str], me: str, instance_id: str
+) -> int:
+    """Return this router's whole requests a second to a cold server.
+
+    :param requests_per_s: what the server bears while it is cold
+    :param routers: the addresses of all routers, this one among them
+    """
+    total = int(SAFETY * (requests_per_s * terms.factor + terms.slack))
+    each, rest = divmod(total, max(1, len(routers)))
+    mine = rendezvous_weight(me, instance_id)
+    ahead = sum(rendezvous_weight(router, instance_id) > mine for router in routers)
+    return each + (ahead < rest)
+
+
+class ColdCalls:
+    """The calls of the last second to one cold server."""
+
+    __slots__ = ("_started_s",)
+
+    def __init__(self) -> None:
+        self._started_s: deque[float] = deque()
+
+    def started(self, now_s: float) -> None:
+        """Count a call."""
+        self._started_s.append(now_s)
+
+    def is_full(self, allowed: int, now_s: float) -> bool:
+        """Return whether no further call may be sent within this second."""
+        while self._started_s and now_s - self._started_s[0] >= SPAN_S:
+            self._started_s.popleft()
+        return len(self._started_s) >= allowed
--- a/fighinge/router/exchange.py
+++ b/fighinge/router/exchange.py
@@ -79,7 +79,6 @@
     signature: str
     was_not_run: bool
     is_other_instance: bool
-    is_leaving: bool
     load: ReportedLoad | None
     cold_left_s: float | None
 
--- a/fighinge/router/extra_calls.py
+++ b/fighinge/router/extra_calls.py
@@ -72,12 +72,6 @@
         self._current(now_s)
         return self._extra + 1 > SCARCE_PART * self._allowed(part)
 
-    def give_back(self, now_s: float) -> None:
-        """Take back a call that was spent and provably never sent."""
-        if self._extra > 0:
-            self._current(now_s).extra -= 1
-            self._extra -= 1
-
     def _take(self, share: float, part: float, now_s: float) -> bool:
         bucket = self._current(now_s)
         if self._extra + 1 > share * self._allowed(part):
--- a/fighinge/router/model.py
+++ b/fighinge/router/model.py
@@ -76,14 +76,6 @@
     services: dict[str, Service]
     limits: CallerLimits
 
-    def services_in_use(self) -> set[str]:
-        """Return the services that some route sends to."""
-        names = {target.service for route in self.routes for target in route.targets}
-        for route in self.routes:
-            if route.gather is not None:
-                names.update(route.gather.shards)
-        return names
-
 
 class RouteIndex:
     """Finds the route of a request: the longest prefix among those of its host."""
--- a/fighinge/router/peers.py
+++ b/fighinge/router/peers.py
@@ -61,6 +61,10 @@
         self._seeds = set(seeds)
         self.membership.set_seeds(seeds)
 
+    def known(self) -> frozenset[str]:
+        """Return the addresses of all routers, those lately lost among them."""
+        return frozenset(member.host for member in self.membership.table.members())
+
     def part_of_limits(self) -> float:
         """Return this router's part of what all routers together may do.
 
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -5,12 +5,16 @@
 from typing import TYPE_CHECKING
 
 from fighinge.router.backend import Backend
+from fighinge.router.cold_limit import allowance
 from fighinge.router.extra_calls import ExtraCalls, ExtraCallTerms
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Collection
 
+    from fighinge.router.addresses import RouterAddress
+    from fighinge.router.cold_limit import ColdTerms
+    from fighinge.router.model import BackendEntry
     from fighinge.router.view import View
 
 CONNECTION_SHARE = 0.85  # connections of hosts that are just gone or not yet known
@@ -33,14 +37,33 @@
 class BackendPool:
     """Follows the view; condition outlives changes of a backend server's entry."""
 
-    __slots__ = ("_backends", "_part", "_random", "_services", "_terms", "_view", "_zone")
+    __slots__ = (
+        "_backends",
+        "_cold_terms",
+        "_me",
+        "_part",
+        "_random",
+        "_routers",
+        "_services",
+        "_terms",
+        "_view",
+        "_zone",
+    )
 
     def __init__(
-        self, view: View, zone: str, terms: ExtraCallTerms, random_source: random.Random
+        self,
+        view: View,
+        me: RouterAddress,
+        terms: ExtraCallTerms,
+        cold_terms: ColdTerms,
+        random_source: random.Random,
     ) -> None:
         self._view = view
-        self._zone = zone
+        self._me = me.host
+        self._zone = me.zone
         self._terms = terms
+        self._cold_terms = cold_terms
+        self._routers = frozenset({me.host})
         self._random = random_source
         self._services: dict[str, Service] = {}
         self._backends: dict[tuple[str, int], Backend] = {}
@@ -52,10 +75,13 @@
         """Return this router's part of what all routers together may do."""
         return self._part
 
-    def limit_to(self, part: float, now_s: float) -> None:
-        """Take this router's part of what all routers together may do."""
-        if part != self._part:
-            self._part = part
+    def limit_to(self, part: float, routers: frozenset[str], now_s: float) -> None:
+        """Take this router's part of what all routers together may do.
+
+        :param routers: the addresses of all routers, those lately lost among them
+        """
+        if (part, routers) != (self._part, self._routers):
+            self._part, self._routers = part, routers
             self.refresh(now_s)
 
     def limit(self, terms: ExtraCallTerms) -> None:
@@ -84,6 +110,7 @@
             elif backend.entry is not entry:
                 backend.update(entry, now_s)
             backend.connection_quota = self._quota(entry.service)
+            backend.cold_allowance = self._cold_allowance(entry)
             kept[identity] = backend
             if entry.zone not in self._view.zones_out:
                 self.service(entry.service).backends.append(backend)
@@ -120,6 +147,20 @@
             cost_s += ZONE_ROUND_TRIP_S + FAR_FACTOR * typical_s
         return cost_s
 
+    def _cold_allowance(self, entry: BackendEntry) -> int | None:
+        """Return this router's requests a second while a server is cold, none for any number."""
+        table = self._view.table
+        service = table.services.get(entry.service) if table else None
+        if service is None or service.cold_requests_per_s <= 0:
+            return None
+        return allowance(
+            service.cold_requests_per_s,
+            self._cold_terms,
+            self._routers,
+            self._me,
+            entry.instance_id,
+        )
+
     def _quota(self, service_name: str) -> int:
         """Return the connections of one router to a backend server of a service."""
         table = self._view.table
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -13,8 +13,10 @@
 from fighinge.errors import Failure
 from fighinge.overload import OverloadSignal
 from fighinge.pauses import PauseWatch
+from fighinge.router.addresses import RouterAddress
 from fighinge.router.attempts import Attempts
 from fighinge.router.backend_calls import CurlBackendCalls
+from fighinge.router.cold_limit import ColdTerms
 from fighinge.router.crash_suspects import CrashSuspects
 from fighinge.router.extra_calls import ExtraCallTerms
 from fighinge.router.follower import Follower
@@ -84,7 +86,9 @@
         self.stop_request = StopRequest.from_signals()
         self.view = View(log)
         terms = _extra_call_terms(settings)
-        self.pool = BackendPool(self.view, settings.zone, terms, self._random)
+        cold_terms = ColdTerms(settings.cold_rate_factor, settings.cold_rate_slack)
+        me = RouterAddress(settings.address, settings.zone)
+        self.pool = BackendPool(self.view, me, terms, cold_terms, self._random)
         self.calls = CurlBackendCalls.create()
         self.peers = Peers(settings, steady_clock, time.time, self._random)
         suspects = CrashSuspects(self.peers.board, self._quarantined)
@@ -190,7 +194,7 @@
         while True:
             now_s = steady_clock()
             self.view.expire(now_s)
-            self.pool.limit_to(self.peers.part_of_limits(), now_s)
+            self.pool.limit_to(self.peers.part_of_limits(), self.peers.known(), now_s)
             ROUTERS.set(len(self.peers.taking_work()))
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_S)
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -193,7 +193,12 @@
     def _is_busy(self, now_s: float) -> bool:
         """Return whether a backend server could be called but for its connections in use."""
         return any(
-            not (backend in self._tried or backend.entry.is_draining or backend.is_down(now_s))
+            not (
+                backend in self._tried
+                or backend.entry.is_draining
+                or backend.is_down(now_s)
+                or backend.is_at_cold_limit(now_s)
+            )
             for backend in self.service.backends
         )
 
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -94,7 +94,6 @@
 
 def test_headers_of_the_connection_are_not_passed_on():
     response = _response(X_Server_Stamp="s", Connection="close", Keep_Alive="timeout=5", X_Own="1")
-    assert response.is_leaving
     answer = CODEC.encode_passed_on(response)
     assert {name for name, _ in answer.headers} == {"X-Server-Stamp", "X-Own"}
 
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -9,8 +9,10 @@
 from fighinge.aggregator.base import Address, CallFailure, CallFault
 from fighinge.facts import FactBoard
 from fighinge.platform.words import PlatformCodec
+from fighinge.router.addresses import RouterAddress
 from fighinge.router.attempts import Attempts
 from fighinge.router.changes import BackendListed, TablePublished
+from fighinge.router.cold_limit import ColdTerms
 from fighinge.router.crash_suspects import CrashSuspects
 from fighinge.router.exchange import BackendRequest, CallerRequest, RawResponse
 from fighinge.router.extra_calls import ExtraCallTerms
@@ -29,6 +31,7 @@
 from fighinge.router.view import Topic, View
 
 TYPICAL_S = 0.02
+COLD_TERMS = ColdTerms(factor=1.5, slack=5.0)
 HOST = "search.example"
 
 
@@ -178,7 +181,8 @@
         self.view = View(self.log)
         self.calls = ScriptedCalls()
         terms = ExtraCallTerms(share, 10.0, slack)
-        self.pool = BackendPool(self.view, zone, terms, random.Random(1))
+        me = RouterAddress("10.0.0.1", zone)
+        self.pool = BackendPool(self.view, me, terms, COLD_TERMS, random.Random(1))
         self.typical = TypicalTimes()
         codec = PlatformCodec()
         self.board = FactBoard()
--- a/tests/router/test_pool.py
+++ b/tests/router/test_pool.py
@@ -9,11 +9,13 @@
 
 from fighinge.aggregator.base import CallFailure, CallFault
 from fighinge.platform.words import PlatformCodec
+from fighinge.router.addresses import RouterAddress
 from fighinge.router.changes import BackendListed, BackendUnlisted, TablePublished, ZoneEvacuated
 from fighinge.router.extra_calls import ExtraCallTerms
 from fighinge.router.pool import BackendPool
 from fighinge.router.view import View
 from tests.router.builders import (
+    COLD_TERMS,
     LOST,
     REFUSED,
     TYPICAL_S,
@@ -34,7 +36,13 @@
 
     def __init__(self, **changes) -> None:
         self.view = View(MemoryLog())
-        self.pool = BackendPool(self.view, "z1", ExtraCallTerms(0.2, 10.0, 56.0), random.Random(1))
+        self.pool = BackendPool(
+            self.view,
+            RouterAddress("10.0.0.1", "z1"),
+            ExtraCallTerms(0.2, 10.0, 56.0),
+            COLD_TERMS,
+            random.Random(1),
+        )
         listed = [BackendListed(entry(f"i{zone}", zone=f"z{zone}")) for zone in (1, 2, 3)]
         self.view.take([TablePublished(table(route(), **changes)), *listed], NOW_S)
 
@@ -109,7 +117,7 @@
 def test_connections_of_all_routers_stay_below_the_limit():
     for routers in (1, 8, 11):
         pool = Pool(max_connections=36)
-        pool.pool.limit_to(1 / routers, NOW_S)
+        pool.pool.limit_to(1 / routers, frozenset({"10.0.0.1"}), NOW_S)
         quota = pool.backend("i1").connection_quota
         assert quota * routers <= 36
         for _ in range(quota):
