--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -1,4 +1,4 @@
-"""A backend server on bare sockets that answers each request as its script says."""
+"""Backend servers on bare sockets: one that counts connections, one that plays a script."""
 
 from __future__ import annotations
 
@@ -8,15 +8,13 @@
 Reply = Callable[[bytes, asyncio.StreamWriter], Awaitable[bool]]
 
 
-class ScriptedServer:
-    """Keeps every request's head; ``reply`` writes to the connection and tells if it stays open."""
+class ConnectionServer:
+    """Counts connections; ``serve_request`` reads one request and tells if it stays open."""
 
-    def __init__(self, reply: Reply) -> None:
-        self.reply = reply
-        self.heads: list[bytes] = []
-        self.bodies: list[bytes] = []
+    def __init__(self) -> None:
+        self.open_connections = 0
+        self.peak_connections = 0
         self.opened_connections = 0
-        self.closed_by_caller = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -35,22 +33,47 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    async def serve_request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Serve one request and return whether the connection stays open."""
+        raise NotImplementedError
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.opened_connections += 1
         self._writers.add(writer)
+        self.opened_connections += 1
+        self.open_connections += 1
+        self.peak_connections = max(self.peak_connections, self.open_connections)
         try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                self.heads.append(head)
-                self.bodies.append(await reader.readexactly(_length(head)))
-                if not await self._reply_or_leave(reader, head, writer):
-                    return
+            while await self.serve_request(reader, writer):
+                pass
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return
         finally:
+            self.open_connections -= 1
             self._writers.discard(writer)
             writer.close()
 
+
+class ScriptedServer(ConnectionServer):
+    """Keeps every request's head; ``reply`` writes to the connection and tells if it stays open."""
+
+    def __init__(self, reply: Reply) -> None:
+        super().__init__()
+        self.reply = reply
+        self.heads: list[bytes] = []
+        self.bodies: list[bytes] = []
+        self.closed_by_caller = 0
+
+    async def serve_request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Read a request whole and reply."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.heads.append(head)
+        self.bodies.append(await reader.readexactly(_length(head)))
+        return await self._reply_or_leave(reader, head, writer)
+
     async def _reply_or_leave(
         self, reader: asyncio.StreamReader, head: bytes, writer: asyncio.StreamWriter
     ) -> bool:
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -8,55 +8,22 @@
 import msgspec
 
 from fighinge.messages import BackendAnswer, BackendRequest, ServerState, ShardPart
+from standins.scripted_server import ConnectionServer
 
 POINTS = ("nowhere", "accept", "headers", "body", "running", "response")
 
 
-class RawServer:
+class RawServer(ConnectionServer):
     """Counts executions and open connections; ``drop_at`` names where searches are dropped."""
 
     def __init__(self, executions: Counter) -> None:
+        super().__init__()
         self.executions = executions
         self.drop_at = "nowhere"
         self.work_s = 0.0
-        self.open_connections = 0
-        self.peak_connections = 0
-        self.opened_connections = 0
         self.cancelled: list[str] = []
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
 
-    @property
-    def port(self) -> int:
-        """Return the port that the server was given."""
-        return self._server.sockets[0].getsockname()[1]
-
-    async def start(self) -> None:
-        """Listen on a free port of the loopback address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-
-    def stop(self) -> None:
-        """Refuse new connections and drop the open ones."""
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer) -> None:
-        self._writers.add(writer)
-        self.opened_connections += 1
-        self.open_connections += 1
-        self.peak_connections = max(self.peak_connections, self.open_connections)
-        try:
-            while await self._request(reader, writer):
-                pass
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            return
-        finally:
-            self.open_connections -= 1
-            self._writers.discard(writer)
-            writer.close()
-
-    async def _request(self, reader, writer) -> bool:
+    async def serve_request(self, reader, writer) -> bool:
         """Serve one request and return whether the connection stays open."""
         if self.drop_at == "accept":
             return False
