Have routers notice from their peers that they miss changes

The store fell silent for a third of the hosts at second 2.5 without ending connections. A reader among them kept its watch open for up to 28 s and went on as in contact, and a follower that was itself in touch served by version 2, five seconds after version 4 was acknowledged.

Change: each datagram between routers carries the revisions of the last changes (view_news.py, through membership's own mark); a router that lacks some for a second renews its watch, or leaves the peer that it follows.

--- a/fighinge/configuration/spread.py
+++ b/fighinge/configuration/spread.py
@@ -125,6 +125,10 @@
         """Return whether the version in force may be relied on."""
         return self.confirmation.confirmed(self._store.version, self._clock())
 
+    def paused(self, now_s: float) -> None:
+        """Ask for confirmation anew, after this process was paused."""
+        self.confirmation.paused(now_s)
+
     def mark(self) -> ConfigurationMark:
         """Return what peers are told of the version in force."""
         return ConfigurationMark(self._store.version, self._store.digest, self.confirmed)
--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import collections
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import logbook
 
@@ -36,6 +36,7 @@
     from fighinge.configuration.store import ConfigurationStore
     from fighinge.facts import Fact, FactBoard
     from fighinge.membership.member import GossipAddress, GossipPorts, Member
+    from fighinge.membership.messages import ConfigurationMark
     from fighinge.membership.transport import Transport
 
 logger = logbook.Logger(__name__)
@@ -50,6 +51,28 @@
 FAREWELL_FANOUT = 8
 
 
+class Spread(Protocol):
+    """What members tell of the configuration in each datagram, and do with what they hear."""
+
+    def mark(self) -> ConfigurationMark:
+        """Return what a datagram tells."""
+
+    def heard(self, member: Member, mark: ConfigurationMark) -> None:
+        """Take what a member tells."""
+
+    def requested(self, member: Member, request: ConfigurationRequest) -> None:
+        """Take a member's request for chunks."""
+
+    def received(self, member: Member, chunk: ConfigurationChunk) -> None:
+        """Take a chunk."""
+
+    def paused(self, now_s: float) -> None:
+        """Learn that this process was paused."""
+
+    async def run(self) -> None:
+        """Do what has to be done in intervals."""
+
+
 class Membership:
     """Keeps the table up to date with the other members and carries facts and configuration.
 
@@ -87,10 +110,11 @@
         clock: Callable[[], float],
         random_source: random.Random,
         codec: Codec | None = None,
+        spread: Spread | None = None,
     ) -> None:
         self.table = MemberTable(me)
         self.detector = Detector(self.table, self, clock, random_source)
-        self.spread = ConfigurationSpread(store, self, clock)
+        self.spread: Spread = spread or ConfigurationSpread(store, self, clock)
         self.ignored: collections.Counter[str] = collections.Counter()
         self.sent_datagrams = 0
         self.sent_bytes = 0
@@ -152,7 +176,7 @@
     def paused(self, now_s: float) -> None:
         """Ask for the view anew after this process was paused."""
         self.detector.paused(now_s)
-        self.spread.confirmation.paused(now_s)
+        self.spread.paused(now_s)
         for member in self._some_members(ANNOUNCE_FANOUT):
             self.send(member, Ping(0))
 
--- a/fighinge/platform/store.py
+++ b/fighinge/platform/store.py
@@ -92,7 +92,7 @@
             revision = page.store_revision if revision is None else revision
             items.extend(page.items)
             if not page.has_more or not page.items:
-                return Snapshot(revision, _decode(items))
+                return Snapshot(revision, _decode(items), _last_change(items))
             query["after"] = page.items[-1].key
         return _failure(f"more than {MAX_PAGES} pages under {self._prefix}")
 
@@ -106,7 +106,7 @@
         events = await self._get("/v1/kv-watch", query, wait_s + READ_TIMEOUT_S, _Events)
         if isinstance(events, Failure | HistoryLost):
             return events
-        return Changes(events.store_revision, _decode(events.events))
+        return Changes(events.store_revision, _decode(events.events), _last_change(events.events))
 
     async def _get(self, path: str, query: dict[str, str], timeout_s: float, message_type):
         self.calls += 1
@@ -133,5 +133,9 @@
     return tuple(change for change in changes if change is not None)
 
 
+def _last_change(items: list[_Item]) -> int:
+    return max((item.revision for item in items), default=0)
+
+
 def _failure(reason: str) -> Failure:
     return Failure(ErrorKind.NOT_READY, reason, "platform store")
--- a/fighinge/router/changes.py
+++ b/fighinge/router/changes.py
@@ -53,17 +53,19 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """Everything that is published, as of a revision."""
+    """Everything that is published, as of a revision; the last change may be older."""
 
     revision: int
     changes: tuple[Change, ...]
+    last_change: int = 0
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """What changed up to a revision."""
+    """What changed up to a revision; ``last_change`` is 0 where nothing did."""
 
     revision: int
     changes: tuple[Change, ...]
+    last_change: int = 0
 
 
 class HistoryLost(msgspec.Struct, frozen=True):
--- a/fighinge/router/follower.py
+++ b/fighinge/router/follower.py
@@ -26,7 +26,9 @@
     """Reads everything once, then watches; reads anew where the history is lost."""
 
     __slots__ = (
+        "_call",
         "_clock",
+        "_is_renewed",
         "_may_read",
         "_random",
         "_retry_s",
@@ -53,6 +55,14 @@
         self._random = random_source
         self._revision: int | None = None
         self._retry_s = FIRST_RETRY_S
+        self._call: asyncio.Future | None = None
+        self._is_renewed = False
+
+    def renew(self) -> None:
+        """Give up a watch that has missed changes, and read everything anew."""
+        if self._call is not None and not self._is_renewed:
+            self._is_renewed = True
+            self._call.cancel()
 
     async def run(self) -> None:
         """Follow the source for as long as the task runs."""
@@ -74,10 +84,21 @@
             return
         self._succeeded(now_s)
         self._view.replace(self._topic, snapshot.changes, now_s)
+        self._view.reached(self._topic, snapshot.revision, snapshot.last_change)
         self._revision = snapshot.revision
 
     async def _watch(self, revision: int) -> None:
-        changes = await self._source.watch(revision, WATCH_S)
+        self._call = asyncio.ensure_future(self._source.watch(revision, WATCH_S))
+        try:
+            changes = await self._call
+        except asyncio.CancelledError:
+            if not self._is_renewed:
+                raise
+            self._is_renewed = False
+            self._revision = None
+            return
+        finally:
+            self._call = None
         now_s = self._clock()
         if isinstance(changes, HistoryLost):
             self._revision = None
@@ -87,6 +108,7 @@
             return
         self._succeeded(now_s)
         self._view.take(changes.changes, now_s)
+        self._view.reached(self._topic, changes.revision, changes.last_change)
         self._revision = max(revision, changes.revision)
         if changes.changes:
             await asyncio.sleep(GATHER_EVENTS_S)
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -34,6 +34,7 @@
 ANSWER_TIMEOUT_S = 1.5  # a view of a megabyte over a link of 10 Mbit/s
 MAX_CONCURRENT_CALLS = 2
 READ_ALONE_AFTER_S = 3.0  # readers of a store that is away are in contact again before others
+AVOID_S = 3.0  # a peer whose view has missed changes finds out by itself meanwhile
 KEEP_READING_S = 10.0  # a reader stays one while members come and go
 
 
@@ -83,7 +84,18 @@
 class PeerFollower:
     """Takes the view of a peer that reads the store, and its changes."""
 
-    __slots__ = ("_client", "_clock", "_peers", "_port", "_random", "_started_s", "_view")
+    __slots__ = (
+        "_avoid_until_s",
+        "_call",
+        "_client",
+        "_clock",
+        "_is_renewed",
+        "_peers",
+        "_port",
+        "_random",
+        "_started_s",
+        "_view",
+    )
 
     def __init__(
         self,
@@ -101,6 +113,15 @@
         self._clock = clock
         self._random = random_source
         self._started_s = clock()
+        self._avoid_until_s: dict[str, float] = {}
+        self._call: asyncio.Future | None = None
+        self._is_renewed = False
+
+    def renew(self) -> None:
+        """Leave a peer whose view has missed changes."""
+        if self._call is not None and not self._is_renewed:
+            self._is_renewed = True
+            self._call.cancel()
 
     @classmethod
     def create(
@@ -134,7 +155,12 @@
     def _choose(self) -> Member | None:
         """Return a peer that may read the store, mostly one of this data centre."""
         table = self._peers.membership.table
-        members = [member for member in table.reachable() if not member.leaving]
+        now_s = self._clock()
+        members = [
+            member
+            for member in table.reachable()
+            if not member.leaving and self._avoid_until_s.get(member.host, 0.0) <= now_s
+        ]
         near = [member for member in members if member.zone == table.me.zone]
         readers = [member for member in members if is_reader(table, member)]
         near_readers = [member for member in readers if member in near]
@@ -153,16 +179,18 @@
         for topic in topics:
             self._view.replace(topic, content.changes(topic), now_s, from_peer=True)
             self._view.relayed(topic, peer.host, now_s)
-        sequence = content.sequence
+        content.marks.put_on(self._view, topics)
+        sequence, newest = content.sequence, content.marks.newest
         while self.is_needed(self._clock()):
-            query = f"?epoch={content.epoch}&after={sequence}&wait_s={WAIT_S}"
+            query = f"?epoch={content.epoch}&after={sequence}&newest={newest}&wait_s={WAIT_S}"
             timeout_s = WAIT_S + ANSWER_TIMEOUT_S
             changes = await self._get(peer, CHANGES_PATH + query, timeout_s, PeerChanges)
             if changes is None:
                 break
-            sequence = changes.sequence
+            sequence, newest = changes.sequence, changes.marks.newest
             now_s = self._clock()
             self._view.take(changes.changes, now_s, from_peer=True)
+            changes.marks.put_on(self._view, topics)
             for topic in topics:
                 self._view.relayed(topic, peer.host, now_s)
         for topic in topics:
@@ -175,7 +203,17 @@
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=timeout_s,
         )
-        response = await fetch_once(self._client, request, prepare=probe_silence)
+        self._call = asyncio.ensure_future(fetch_once(self._client, request, prepare=probe_silence))
+        try:
+            response = await self._call
+        except asyncio.CancelledError:
+            if not self._is_renewed:
+                raise
+            self._is_renewed = False
+            self._avoid_until_s[peer.host] = self._clock() + AVOID_S
+            return None
+        finally:
+            self._call = None
         if isinstance(response, TransferFailure) or response.code != 200:
             reason = getattr(response, "reason", "") or f"status {response.code}"
             self._view.log.write("peer not followed", peer=peer.host, reason=reason)
--- a/fighinge/router/peers.py
+++ b/fighinge/router/peers.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable, Iterable
 
     from fighinge.router.settings import RouterSettings
+    from fighinge.router.view_news import ViewNews
 
 STRONG_PART = 0.85  # weak hosts still get callers that keep an old answer
 
@@ -32,6 +33,7 @@
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
         random_source: random.Random,
+        news: ViewNews | None = None,
     ) -> None:
         self._seeds = set(settings.seeds)
         self.board = FactBoard()
@@ -53,6 +55,7 @@
             clock,
             random_source,
             Codec(),
+            news,
         )
         self.membership.set_seeds(settings.seeds)
 
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -29,6 +29,7 @@
 from fighinge.router.service import RouterService
 from fighinge.router.typical import TypicalTimes
 from fighinge.router.view import Topic, View
+from fighinge.router.view_news import ViewNews
 from fighinge.stop import StopRequest
 
 if TYPE_CHECKING:
@@ -90,7 +91,8 @@
         me = RouterAddress(settings.address, settings.zone)
         self.pool = BackendPool(self.view, me, terms, cold_terms, self._random)
         self.calls = CurlBackendCalls.create()
-        self.peers = Peers(settings, steady_clock, time.time, self._random)
+        self._news = ViewNews(self.view, steady_clock)
+        self.peers = Peers(settings, steady_clock, time.time, self._random, self._news)
         suspects = CrashSuspects(self.peers.board, self._quarantined)
         attempts = Attempts(self.calls, codec, TypicalTimes(), suspects, steady_clock)
         self.service = RouterService(self.view, self.pool, attempts, codec, log, steady_clock)
@@ -105,10 +107,10 @@
         self._peer_follower = PeerFollower.create(
             self.view, self.peers, settings.control_port, steady_clock, self._random
         )
-        self._followers = [
-            Follower(source, topic, self.view, steady_clock, self._random, role.may_read)
+        self._followers = {
+            topic: Follower(source, topic, self.view, steady_clock, self._random, role.may_read)
             for topic, source in sources.items()
-        ]
+        }
 
     @property
     def is_ready(self) -> bool:
@@ -125,7 +127,7 @@
         :raises OSError: if an address is taken
         """
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
-        for follower in self._followers:
+        for follower in self._followers.values():
             self.spawn(follower.run())
         self.spawn(self._reread_settings())
         self.spawn(self._peer_follower.run())
@@ -194,11 +196,21 @@
         while True:
             now_s = steady_clock()
             self.view.expire(now_s)
+            self._renew_stale(now_s)
             self.pool.limit_to(self.peers.part_of_limits(), self.peers.known(), now_s)
             ROUTERS.set(len(self.peers.taking_work()))
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_S)
 
+    def _renew_stale(self, now_s: float) -> None:
+        """Leave sources and peers that have not told of changes which others know."""
+        for topic in self._news.take_stale(now_s):
+            if self.view.is_in_contact(topic):
+                self.view.lost(topic, "a peer knows of newer changes", now_s)
+                self._followers[topic].renew()
+            else:
+                self._peer_follower.renew()
+
     async def _reread_settings(self) -> None:
         """Notice settings that changed without a signal."""
         while True:
--- a/fighinge/router/relay.py
+++ b/fighinge/router/relay.py
@@ -16,6 +16,8 @@
 from fighinge.router.view import Topic
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from fighinge.router.view import View
 
 VIEW_PATH = "/view"
@@ -25,6 +27,31 @@
 CHECK_CONTACT_S = 0.25  # a relay that loses contact says so well within a second
 
 
+class Marks(msgspec.Struct, frozen=True):
+    """Up to which revisions of the sources a router's view is complete, and its last changes."""
+
+    known: dict[str, int]
+    last_change: dict[str, int]
+
+    @classmethod
+    def from_view(cls, view: View) -> Marks:
+        """Return the marks of a view."""
+        return cls(
+            {topic.value: view.known(topic) for topic in Topic},
+            {topic.value: view.last_change(topic) for topic in Topic},
+        )
+
+    def put_on(self, view: View, topics: Iterable[Topic]) -> None:
+        """Have a view that follows this router reach the same marks."""
+        for topic in topics:
+            view.reached(topic, self.known[topic.value], self.last_change[topic.value])
+
+    @property
+    def newest(self) -> int:
+        """Return the revision of the last change of all."""
+        return max(self.last_change.values())
+
+
 class PeerView(msgspec.Struct, frozen=True):
     """Everything that a router in contact with its sources believes.
 
@@ -36,6 +63,7 @@
     table: RoutingTable | None
     backends: tuple[BackendEntry, ...]
     zones_out: tuple[str, ...]
+    marks: Marks
 
     def changes(self, topic: Topic) -> list[Change]:
         """Return what is published of a topic."""
@@ -50,6 +78,7 @@
 
     sequence: int
     changes: tuple[Change, ...]
+    marks: Marks
 
 
 class Relay:
@@ -64,6 +93,7 @@
         self._sequence = 0
         self._changed = asyncio.Event()
         view.listen_changes(self._take)
+        view.listen_marks(self._wake)
 
     @property
     def in_contact(self) -> bool:
@@ -79,11 +109,16 @@
             view.table,
             tuple(view.backends.values()),
             tuple(sorted(view.zones_out)),
+            Marks.from_view(view),
         )
 
-    async def changes(self, epoch: str, after: int, wait_s: float) -> PeerChanges | None:
+    async def changes(
+        self, epoch: str, after: int, newest: int, wait_s: float
+    ) -> PeerChanges | None:
         """Return what changed after a sequence number, none where that is not known.
 
+        :param newest: the revision of the last change that the peer knows of; a change without
+            any effect is told by its revision alone
         :param wait_s: time after which the answer may hold no change
         """
         loop = asyncio.get_running_loop()
@@ -91,11 +126,12 @@
         while self.in_contact:
             if epoch != self.epoch or not self._knows(after):
                 return None
-            if self._sequence > after:
+            marks = Marks.from_view(self._view)
+            if self._sequence > after or marks.newest > newest:
                 changes = tuple(change for number, change in self._kept if number > after)
-                return PeerChanges(self._sequence, changes)
+                return PeerChanges(self._sequence, changes, marks)
             if loop.time() >= end_s:
-                return PeerChanges(self._sequence, ())
+                return PeerChanges(self._sequence, (), marks)
             changed = self._changed
             try:
                 async with asyncio.timeout(CHECK_CONTACT_S):
@@ -112,6 +148,9 @@
         for change in changes:
             self._sequence += 1
             self._kept.append((self._sequence, change))
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -147,8 +186,9 @@
         """Answer a peer."""
         epoch = self.get_query_argument("epoch")
         after = int(self.get_query_argument("after"))
+        newest = int(self.get_query_argument("newest"))
         wait_s = float(self.get_query_argument("wait_s"))
-        self.send(await self.relay.changes(epoch, after, wait_s))
+        self.send(await self.relay.changes(epoch, after, newest, wait_s))
 
 
 def relay_routes(relay: Relay) -> list[tuple]:
--- a/fighinge/router/view.py
+++ b/fighinge/router/view.py
@@ -53,7 +53,10 @@
         "_change_listeners",
         "_contacts",
         "_held",
+        "_known",
+        "_last_change",
         "_listeners",
+        "_mark_listeners",
         "backends",
         "log",
         "routes",
@@ -68,6 +71,9 @@
         self.backends: dict[str, BackendEntry] = {}
         self._held: dict[str, float] = {}
         self._contacts = {topic: _Contact() for topic in Topic}
+        self._known = dict.fromkeys(Topic, 0)
+        self._last_change = dict.fromkeys(Topic, 0)
+        self._mark_listeners: list[Callable[[], None]] = []
         self._listeners: list[Callable[[float], None]] = []
         self._change_listeners: list[Callable[[list[Change]], None]] = []
         self._applied: list[Change] = []
@@ -86,6 +92,26 @@
         """Call a listener with the changes that took effect."""
         self._change_listeners.append(listener)
 
+    def listen_marks(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever the last change of a topic is a later one."""
+        self._mark_listeners.append(listener)
+
+    def known(self, topic: Topic) -> int:
+        """Return the revision of the source up to which this view is complete."""
+        return self._known[topic]
+
+    def last_change(self, topic: Topic) -> int:
+        """Return the revision of the last change of a topic."""
+        return self._last_change[topic]
+
+    def reached(self, topic: Topic, known: int, last_change: int) -> None:
+        """Take up to which revision the view is complete, and when its last change was."""
+        self._known[topic] = max(self._known[topic], known, last_change)
+        if last_change > self._last_change[topic]:
+            self._last_change[topic] = last_change
+            for listener in self._mark_listeners:
+                listener()
+
     def is_in_contact(self, topic: Topic) -> bool:
         """Return whether the source of a topic answers this router itself."""
         contact = self._contacts[topic]
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -49,7 +49,7 @@
             [BackendListed(entry("i2")), ZoneEvacuated("z1")],
             [BackendUnlisted("i1"), ZoneReturned("z1")],
         ):
-            waiting = asyncio.create_task(relay.changes(relay.epoch, sequence, 10.0))
+            waiting = asyncio.create_task(relay.changes(relay.epoch, sequence, 0, 10.0))
             await asyncio.sleep(0.05)
             source.take(changes, NOW_S)
             told = await waiting
@@ -74,7 +74,7 @@
         source.take([BackendUnlisted("i1")], NOW_S + 1)
         held = relay.view().sequence
         source.expire(NOW_S + 10)
-        return before, held, await relay.changes(relay.epoch, held, 0.0)
+        return before, held, await relay.changes(relay.epoch, held, 0, 0.0)
 
     before, held, told = run(follow())
     assert held == before
@@ -85,7 +85,7 @@
     async def follow():
         source = _view()
         relay = Relay(source)
-        waiting = asyncio.create_task(relay.changes(relay.epoch, 0, 20.0))
+        waiting = asyncio.create_task(relay.changes(relay.epoch, 0, 0, 20.0))
         await asyncio.sleep(1.0)
         source.lost(Topic.CONFIGURATION, "silent", NOW_S)
         started_s = asyncio.get_running_loop().time()
@@ -103,9 +103,9 @@
         for number in range(KEPT_CHANGES + 10):
             source.take([BackendListed(entry("i1", slots=number + 1))], NOW_S)
         return (
-            await relay.changes("other", 0, 1.0),
-            await relay.changes(relay.epoch, 5, 1.0),
-            await relay.changes(relay.epoch, KEPT_CHANGES, 1.0),
+            await relay.changes("other", 0, 0, 1.0),
+            await relay.changes(relay.epoch, 5, 0, 1.0),
+            await relay.changes(relay.epoch, KEPT_CHANGES, 0, 1.0),
         )
 
     other, old, known = run(follow())
--- /dev/null
+++ b/tests/router/test_view_news.py
@@ -0,0 +1,111 @@
+"""Tests that a router which misses changes learns it from its peers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from fighinge.membership.member import Member, Role
+from fighinge.membership.messages import ConfigurationMark
+from fighinge.router.changes import BackendListed, Changes, Snapshot
+from fighinge.router.follower import Follower
+from fighinge.router.relay import Relay
+from fighinge.router.view import Topic, View
+from fighinge.router.view_news import STALE_AFTER_S, ViewNews
+from tests.router.builders import MemoryLog, entry
+from tests.virtual_time import run
+
+NOW_S = 1000.0
+PEER = Member(Role.ENTRY, "10.0.0.2", "z1", 1)
+
+
+class _Router:
+    def __init__(self):
+        self.now_s = NOW_S
+        self.view = View(MemoryLog())
+        self.news = ViewNews(self.view, lambda: self.now_s)
+
+
+def _marked(last_change):
+    router = _Router()
+    for topic in Topic:
+        router.view.reached(topic, last_change, last_change)
+    return router.news.mark()
+
+
+def test_newer_change_of_a_peer_makes_the_view_stale_after_a_while():
+    router = _Router()
+    router.news.heard(PEER, _marked(7))
+    assert router.news.take_stale(NOW_S + STALE_AFTER_S / 2) == []
+    assert set(router.news.take_stale(NOW_S + STALE_AFTER_S)) == set(Topic)
+    assert router.news.take_stale(NOW_S + STALE_AFTER_S + 0.1) == []
+
+
+def test_view_that_catches_up_is_not_stale():
+    router = _Router()
+    router.news.heard(PEER, _marked(7))
+    for topic in Topic:
+        router.view.reached(topic, 9, 7)
+    assert router.news.take_stale(NOW_S + 10) == []
+
+
+def test_view_that_is_complete_up_to_a_later_revision_is_not_stale():
+    router = _Router()
+    for topic in Topic:
+        router.view.reached(topic, 9, 3)
+    router.news.heard(PEER, _marked(7))
+    assert router.news.take_stale(NOW_S + 10) == []
+
+
+def test_mark_of_another_form_is_ignored():
+    router = _Router()
+    router.news.heard(PEER, ConfigurationMark(5, b"short"))
+    assert router.news.take_stale(NOW_S + 10) == []
+
+
+class SilentSource:
+    """Answers reads; its watches say nothing although changes were made."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def read_all(self):
+        """Return one more backend server with each read."""
+        self.reads += 1
+        return Snapshot(self.reads, (BackendListed(entry(f"i{self.reads}")),), self.reads)
+
+    async def watch(self, after_revision, wait_s):
+        """Say nothing for as long as may be."""
+        await asyncio.sleep(wait_s)
+        return Changes(after_revision, ())
+
+
+def test_renewed_follower_reads_everything_anew():
+    async def follow():
+        view, source = View(MemoryLog()), SilentSource()
+        clock = asyncio.get_running_loop().time
+        follower = Follower(source, Topic.BACKENDS, view, clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1.0)
+        before = dict(view.backends)
+        follower.renew()
+        await asyncio.sleep(0.5)
+        task.cancel()
+        return set(before), source.reads, view.known(Topic.BACKENDS)
+
+    assert run(follow()) == ({"i1"}, 2, 2)
+
+
+def test_change_without_effect_reaches_peers_by_its_revision():
+    async def follow():
+        view = View(MemoryLog())
+        for topic in Topic:
+            view.answered(topic, NOW_S)
+        relay = Relay(view)
+        waiting = asyncio.create_task(relay.changes(relay.epoch, 0, 0, 20.0))
+        await asyncio.sleep(1.0)
+        view.reached(Topic.BACKENDS, 12, 12)
+        told = await waiting
+        return told.changes, told.marks.newest
+
+    assert run(follow()) == ((), 12)
