--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -24,6 +24,8 @@
 REPORT_VALID_S = 0.25  # a reported load describes the moment of a response
 FIRST_DOWN_S = 0.4  # a restarted process is back within a second or so
 LONGEST_DOWN_S = 2.0  # an outage of seconds ends without notice
+LOAD_WEIGHT = 0.3  # calls of other routers may come to a server that has free slots here
+SHED_FACTOR = 5.0  # a server that has just refused is worse than any but a standing one
 SHED_PAUSE_S = 0.05  # a full queue of 12 empties in about this time
 STALL_FACTOR = 3.0  # few calls take three times as long as usual unless the server stands still
 STALL_FLOOR_S = 0.025  # below this, delays of the network and of this process count more
@@ -127,10 +129,11 @@
             work_s *= COLD_FACTOR
         slots = self.entry.slots
         load = max(len(self._calls), self._reported_load(now_s))
-        expected_s = work_s * (1.0 + 0.3 * load / slots + max(0, load + 1 - slots) / slots)
+        queued = max(0, load + 1 - slots)
+        expected_s = work_s * (1.0 + LOAD_WEIGHT * load / slots + queued / slots)
         expected_s += self._stalled_s(now_s)
         if now_s < self._shed_until_s:
-            expected_s += 5 * typical_s
+            expected_s += SHED_FACTOR * typical_s
         return expected_s / (1.0 - self.failure_share(now_s))
 
     def slowness(self, now_s: float) -> float:
--- a/fighinge/router/follower.py
+++ b/fighinge/router/follower.py
@@ -18,6 +18,7 @@
 WATCH_S = 28.0  # each watch is paid for; silence is found by probes of the connection, not by this
 FIRST_RETRY_S = 0.1  # a cut watch is usually taken up again at once
 LONGEST_RETRY_S = 0.8  # well within the 3 s in which a configuration has to be in force
+RETRY_SPREAD = 0.5  # routers that lost a source together come back one by one
 ROLE_INTERVAL_S = 0.1  # how soon a router begins to read that is to
 GATHER_EVENTS_S = 0.15  # a watch answers each event alone; a pause answers several at once
 
@@ -119,5 +120,7 @@
 
     async def _failed(self, failure: Failure, now_s: float) -> None:
         self._view.lost(self._topic, failure.reason, now_s)
-        await asyncio.sleep(self._retry_s * (0.5 + self._random.random()))
+        await asyncio.sleep(
+            self._retry_s * self._random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+        )
         self._retry_s = min(LONGEST_RETRY_S, 2 * self._retry_s)
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -34,6 +34,8 @@
 ANSWER_TIMEOUT_S = 1.5  # a view of a megabyte over a link of 10 Mbit/s
 MAX_CONCURRENT_CALLS = 2
 READ_ALONE_AFTER_S = 3.0  # readers of a store that is away are in contact again before others
+NEAREST_SHARE = 0.8  # the others are tried now and then, where the nearest are out of contact
+SPREAD = 0.2  # keeps routers from asking at the same moments
 AVOID_S = 3.0  # a peer whose view has missed changes finds out by itself meanwhile
 KEEP_READING_S = 10.0  # a reader stays one while members come and go
 
@@ -145,7 +147,7 @@
             peer = self._choose() if self.is_needed(self._clock()) else None
             if peer is not None:
                 await self._follow(peer)
-            await asyncio.sleep(ASK_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
+            await asyncio.sleep(ASK_INTERVAL_S * self._random.uniform(1 - SPREAD, 1 + SPREAD))
 
     def is_needed(self, now_s: float) -> bool:
         """Return whether this router is out of contact with the store, or does not read it."""
@@ -165,7 +167,7 @@
         readers = [member for member in members if is_reader(table, member)]
         near_readers = [member for member in readers if member in near]
         for candidates in (near_readers, readers, members):
-            if candidates and self._random.random() < 0.8:
+            if candidates and self._random.random() < NEAREST_SHARE:
                 return self._random.choice(candidates)
         return None
 
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -20,6 +20,7 @@
 CONNECTION_SHARE = 0.85  # connections of hosts that are just gone or not yet known
 DEFAULT_MAX_CONNECTIONS = 8  # a service that the configuration does not describe
 ZONE_ROUND_TRIP_S = 0.003  # the way to another data centre of the region and back
+TIE_SPREAD = 0.06  # equal backend servers share the calls; a worse one does not become better
 FAR_FACTOR = 0.5  # bytes between data centres are paid for: leave one's own for half a call's time
 
 
@@ -124,7 +125,9 @@
         for backend in service.backends:
             if backend in tried or not backend.is_usable(now_s):
                 continue
-            cost_s = self.cost_s(backend, typical_s, now_s) * (0.97 + 0.06 * self._random.random())
+            cost_s = self.cost_s(backend, typical_s, now_s) * (
+                1.0 + TIE_SPREAD * self._random.random()
+            )
             if cost_s < best_cost_s:
                 best, best_cost_s = backend, cost_s
         return best
