Ask servers that lost an answer again, and weigh failures by what they cost

Change: a failure share costs ten usual times on the last server that may get a request, and up to four on the others as the budget is spent. Servers that lost an answer get the request again, up to two calls more: the route bounds servers, not calls, and the budget of extra calls bounds those. The test of the most servers per request now counts servers and bounds calls, as the rule does.

--- a/fighinge/router/extra_calls.py
+++ b/fighinge/router/extra_calls.py
@@ -72,6 +72,12 @@
         self._current(now_s)
         return self._extra + 1 > SCARCE_PART * self._allowed(part)
 
+    def spent_share(self, part: float, now_s: float) -> float:
+        """Return which share of the budget of the window is spent, at most 1."""
+        self._current(now_s)
+        allowed = self._allowed(part)
+        return min(1.0, self._extra / allowed) if allowed > 0 else 1.0
+
     def _take(self, share: float, part: float, now_s: float) -> bool:
         bucket = self._current(now_s)
         if self._extra + 1 > share * self._allowed(part):
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -118,14 +118,22 @@
         self._backends = kept
 
     def choose(
-        self, service: Service, typical_s: float, tried: Collection[Backend], now_s: float
+        self,
+        service: Service,
+        typical_s: float,
+        tried: Collection[Backend],
+        now_s: float,
+        failure_cost: float = 0.0,
     ) -> Backend | None:
-        """Return the backend server that is expected to answer first, or none that may be used."""
+        """Return the backend server with the least expected cost, or none that may be used.
+
+        :param failure_cost: what a call that fails costs beyond its time, in usual calls' times
+        """
         best, best_cost_s = None, float("inf")
         for backend in service.backends:
             if backend in tried or not backend.is_usable(now_s):
                 continue
-            cost_s = self.cost_s(backend, typical_s, now_s) * (
+            cost_s = self.cost_s(backend, typical_s, now_s, failure_cost) * (
                 1.0 + TIE_SPREAD * self._random.random()
             )
             if cost_s < best_cost_s:
@@ -143,9 +151,12 @@
             default=None,
         )
 
-    def cost_s(self, backend: Backend, typical_s: float, now_s: float) -> float:
-        """Return the expected time of a call, with what leaving the data centre costs."""
+    def cost_s(
+        self, backend: Backend, typical_s: float, now_s: float, failure_cost: float = 0.0
+    ) -> float:
+        """Return a call's expected time, with what a failure and leaving the data centre cost."""
         cost_s = backend.expected_s(typical_s, now_s)
+        cost_s += failure_cost * typical_s * backend.failure_share(now_s)
         if backend.entry.zone != self._zone:
             cost_s += ZONE_ROUND_TRIP_S + FAR_FACTOR * typical_s
         return cost_s
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from fighinge.aggregator.base import CallFailure, proves_not_sent
+from fighinge.aggregator.base import CallFailure, CallFault, proves_not_sent
 from fighinge.errors import ErrorKind, Failure
 from fighinge.router.crash_suspects import fingerprint_of
 from fighinge.router.exchange import BackendResponse
@@ -23,6 +23,9 @@
 
 BUSY_POLL_S = 0.005  # how often a free connection is looked for; a fraction of any call's time
 NOTED_FACTOR = 2.0  # a call that took this much longer than usual is told in the log
+LAST_CALL_FAILURE_COST = 10.0  # usual calls' times: an answer without a shard loses a tenth or more
+SCARCE_FAILURE_COST = 4.0  # usual calls' times: a failure takes a call that another one needs
+REPEATS_AT_KNOWN = 2  # where two servers each lose half of their answers, four calls get 15 of 16
 MAX_UNSENT_TRIES = 4  # a service's backend servers that refuse connections, one after the other
 
 
@@ -51,11 +54,13 @@
         "_arrivals",
         "_attempts",
         "_clock",
+        "_failed",
         "_failed_response",
         "_leave_out",
         "_may_hedge",
         "_open",
         "_pool",
+        "_reached",
         "_request",
         "_started_s",
         "_terms",
@@ -90,6 +95,8 @@
         self._may_hedge = may_hedge
         self._leave_out = leave_out
         self._tried: list[Backend] = []
+        self._reached: set[Backend] = set()
+        self._failed: list[Backend] = []
         self._arrivals = 0
         self._uncertain = 0
         self._unsent = 0
@@ -144,6 +151,9 @@
     def _start(self, backend: Backend, pending: dict[asyncio.Task, Backend], now_s: float) -> None:
         terms = self._terms
         self._tried.append(backend)
+        self._reached.add(backend)
+        if backend in self._failed:
+            self._failed.remove(backend)
         self._arrivals += 1
         self._uncertain += 1
         self._started_s = now_s
@@ -162,13 +172,39 @@
         if not self._may_call_again(now_s):
             return self._failure()
         typical_s = self._attempts.typical.typical_s(self._terms.kind)
-        backend = self._pool.choose(self.service, typical_s, self._tried, now_s)
+        backend = self._choose(typical_s, now_s)
         if backend is None:
             return None if self._is_busy(now_s) else self._failure()
         if self._arrivals and not self._takes_retry(now_s):
             return self._failure()
         return backend
 
+    def _choose(self, typical_s: float, now_s: float) -> Backend | None:
+        """Return the next backend server; the less a failure can be mended, the safer a one."""
+        if self._arrivals + 1 >= self._terms.max_attempts:
+            failure_cost = LAST_CALL_FAILURE_COST
+        else:
+            spent = self.service.extra_calls.spent_share(self._pool.part, now_s)
+            failure_cost = SCARCE_FAILURE_COST * spent
+        may_get_it = self._candidates()
+        left_out = [backend for backend in self.service.backends if backend not in may_get_it]
+        return self._pool.choose(self.service, typical_s, left_out, now_s, failure_cost)
+
+    def _candidates(self) -> list[Backend]:
+        """Return who may get the request next: those that have not, then those that lost it.
+
+        The number of servers that get a request is bounded, and not that of its calls: a server
+        that loses one answer may well give the next.
+        """
+        if len(self._reached) >= self._terms.max_attempts:
+            return [backend for backend in self._failed if backend in self.service.backends]
+        return [backend for backend in self.service.backends if backend not in self._tried]
+
+    @property
+    def _most_calls(self) -> int:
+        """Return how many calls a request may need; what is bounded is the servers that get it."""
+        return self._terms.max_attempts + (REPEATS_AT_KNOWN if self._terms.repeatable else 0)
+
     def _takes_retry(self, now_s: float) -> bool:
         """Spend a call of the budget, unless it is scarce and the result can be done without."""
         budget, part = self.service.extra_calls, self._pool.part
@@ -181,7 +217,7 @@
         return True
 
     def _may_call_again(self, now_s: float) -> bool:
-        if self._arrivals >= self._terms.max_attempts or self._unsent >= MAX_UNSENT_TRIES:
+        if self._arrivals >= self._most_calls or self._unsent >= MAX_UNSENT_TRIES:
             return False
         if self._arrivals and self._is_quarantined(now_s):
             return False
@@ -194,18 +230,17 @@
         """Return whether a backend server could be called but for its connections in use."""
         return any(
             not (
-                backend in self._tried
-                or backend.entry.is_draining
+                backend.entry.is_draining
                 or backend.is_down(now_s)
                 or backend.is_at_cold_limit(now_s)
             )
-            for backend in self.service.backends
+            for backend in self._candidates()
         )
 
     def _hedge_s(self, now_s: float) -> float:
         """Return when a call beside the one in flight pays."""
         terms = self._terms
-        if not terms.repeatable or self._arrivals >= terms.max_attempts:
+        if not terms.repeatable or self._arrivals >= self._most_calls:
             return terms.hard_s
         typical_s = self._attempts.typical.typical_s(terms.kind)
         due_s = self._started_s + hedge_delay_s(typical_s, terms.soft_s - self._started_s)
@@ -217,7 +252,7 @@
         if not self._may_hedge() or not budget.has_hedge(self._pool.part, now_s):
             return
         typical_s = self._attempts.typical.typical_s(self._terms.kind)
-        backend = self._pool.choose(self.service, typical_s, self._tried, now_s)
+        backend = self._choose(typical_s, now_s)
         if backend is None:
             return
         if now_s + backend.expected_s(typical_s, now_s) >= self._terms.hard_s:
@@ -230,17 +265,21 @@
         """Take the end of a call and return whether it ends the request at this service."""
         self._note_end(backend, result)
         if proves_not_sent(result):
+            self._reached.discard(backend)
             self._arrivals -= 1
             self._uncertain -= 1
             self._unsent += 1
             return False
         if isinstance(result, CallFailure):
+            if result.fault is not CallFault.TIMEOUT:
+                self._failed.append(backend)
             return False
         if result.was_not_run:
             self._uncertain -= 1
             return False
         if result.is_success:
             return True
+        self._failed.append(backend)
         if not result.signature or 200 <= result.status < 300:
             return False
         self._failed_response = result
--- a/tests/router/test_gather.py
+++ b/tests/router/test_gather.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import Counter
 
 import pytest
@@ -196,3 +197,25 @@
         return sum(in_aim) / len(in_aim)
 
     assert run(ask()) > 0.9
+
+
+def test_answers_stay_whole_while_two_servers_of_each_shard_lose_answers():
+    """Two of three servers lose two answers in five for five seconds, at 20 queries a second."""
+
+    async def ask():
+        parts = RouterParts(slack=14.0)
+        parts.publish(table(gather_route(SHARDS)), *shard_entries(SHARDS))
+        parts.learn("all")
+        chance = random.Random(7)
+        for shard in range(SHARDS):
+            for replica in range(2):
+                steps = [(0.01, LOST if chance.random() < 0.4 else None) for _ in range(400)]
+                parts.calls.script(f"s{shard}-{replica}", *steps)
+        whole = 0
+        for _ in range(100):
+            headers = dict((await parts.ask("/all/q")).headers)
+            whole += headers.get("X-Missing-Parts") == "0"
+            await asyncio.sleep(0.05)
+        return whole
+
+    assert run(ask()) >= 97
--- a/tests/router/test_service_call.py
+++ b/tests/router/test_service_call.py
@@ -76,7 +76,21 @@
 
     answered, parts = run(ask())
     assert answered.status == 502
-    assert len(parts.calls.sent) == 2
+    assert len({name for name, _ in parts.calls.sent}) == 2
+    assert len(parts.calls.sent) == 4
+
+
+def test_server_that_lost_an_answer_is_asked_again_where_no_other_may_be():
+    async def ask():
+        parts = RouterParts()
+        parts.publish(table(route()), *THREE)
+        for item in THREE:
+            parts.calls.script(item.instance_id, (0.001, LOST), (0.001, None))
+        return await parts.ask(), parts
+
+    answered, parts = run(ask())
+    assert answered.status == 200
+    assert len({name for name, _ in parts.calls.sent}) == 2
 
 
 def test_refused_everywhere_is_told_as_not_run_with_a_time_to_come_back():
