Count the time of a new connection once, and hold the aim while it can be kept

Of 35 that were late or partial most were the first of their connection: their patience already lacked the 21 ms for address and connection, and the way was doubled for the connection once more; then four usual times were waited for even though a partial answer in the aim was at hand.

--- a/fighinge/router/exchange.py
+++ b/fighinge/router/exchange.py
@@ -15,9 +15,8 @@
     """A request as a caller sent it.
 
     ``target`` is the path with its query, byte for byte. ``patience_s`` is how long the caller
-    waits from ``received_s`` on; ``way_s`` is the time on the way to the router and back, with
-    that for the connection where the request is its first. ``headers`` leaves out those of the
-    caller's connection and those that the router sets.
+    waits from ``received_s`` on; ``way_s`` is the time on the way to the router and back.
+    ``headers`` leaves out those of the caller's connection and those that the router sets.
     """
 
     request_id: str
--- a/fighinge/router/http_server.py
+++ b/fighinge/router/http_server.py
@@ -17,6 +17,7 @@
 
     from tornado.http1connection import HTTP1Connection
 
+    from fighinge.errors import Failure
     from fighinge.router.exchange import Codec
     from fighinge.router.model import CallerLimits
     from fighinge.router.service import RouterService
@@ -37,7 +38,6 @@
         self._codec = codec
         self.clock = clock
         self._tasks: set[asyncio.Task] = set()
-        self._used: set[object] = set()
         self.is_stopping = False
         self._is_closing = False
         self._was_quiet = True
@@ -100,47 +100,36 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> httputil.HTTPMessageDelegate:
         """Begin to read a request; called by tornado."""
-        is_first = server_conn not in self._used
-        self._used.add(server_conn)
-        return _Request(self, request_conn, is_first)
+        return _Request(self, request_conn)
 
-    def on_close(self, server_conn: object) -> None:
-        """Forget a connection; called by tornado."""
-        self._used.discard(server_conn)
-
-    def received(
+    def decode(
         self,
-        connection: HTTP1Connection,
         start_line: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
         body: bytes,
         received_s: float,
         way_s: float,
+    ) -> CallerRequest | Failure:
+        """Return what a caller asks."""
+        return self._codec.decode_request(
+            start_line.method, start_line.path, tuple(headers.get_all()), body, received_s, way_s
+        )
+
+    def received(
+        self, connection: HTTP1Connection, method: str, request: CallerRequest | Failure
     ) -> None:
         """Answer a request that was read."""
         if self._is_closing:
             connection.close()
             return
         self._was_quiet = False
-        task = asyncio.create_task(
-            self._answer(connection, start_line, headers, body, received_s, way_s)
-        )
+        task = asyncio.create_task(self._answer(connection, method, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _answer(
-        self,
-        connection: HTTP1Connection,
-        start_line: httputil.RequestStartLine,
-        headers: httputil.HTTPHeaders,
-        body: bytes,
-        received_s: float,
-        way_s: float,
+        self, connection: HTTP1Connection, method: str, request: CallerRequest | Failure
     ) -> None:
-        target = start_line.path
-        request = self._codec.decode_request(
-            start_line.method, target, tuple(headers.get_all()), body, received_s, way_s
-        )
         task = asyncio.current_task()
         connection.set_close_callback(task.cancel)
         try:
@@ -150,7 +139,7 @@
                 self._service.left_by_caller(request)
             return
         connection.set_close_callback(None)
-        self._write(connection, start_line.method, answer)
+        self._write(connection, method, answer)
 
     def _write(self, connection: HTTP1Connection, method: str, answer: Answer) -> None:
         headers = httputil.HTTPHeaders()
@@ -173,9 +162,8 @@
 class _Request(httputil.HTTPMessageDelegate):
     """Collects one request."""
 
-    def __init__(self, server: CallerServer, connection: HTTP1Connection, is_first: bool) -> None:
+    def __init__(self, server: CallerServer, connection: HTTP1Connection) -> None:
         self._server = server
-        self._is_first = is_first
         self._connection = connection
         self._chunks: list[bytes] = []
         self._start_line: httputil.RequestStartLine | None = None
@@ -196,14 +184,14 @@
 
     def finish(self) -> None:
         """Hand the whole request over."""
-        self._server.received(
-            self._connection,
+        request = self._server.decode(
             self._start_line,
             self._headers,
             b"".join(self._chunks),
             self._received_s,
-            round_trip_s(self._connection) * (2 if self._is_first else 1),
+            round_trip_s(self._connection),
         )
+        self._server.received(self._connection, self._start_line.method, request)
 
     def on_connection_close(self) -> None:
         """Forget a request whose caller left before it was read."""
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -142,8 +142,9 @@
     def _terms(self, route: Route, request: CallerRequest) -> CallTerms:
         """Return what bounds the calls of a request.
 
-        The aim counts from a caller's first attempt. Its later ones show by how much less
-        patience they have left than any request of the route had.
+        The aim counts from when a caller began: its way to an address and a connection, and its
+        earlier attempts, show in how much less patience is left than any request of the route had.
+        An answer that cannot keep the aim any longer waits for what most calls need.
         """
         longest_s = max(self._longest_patience_s.get(route.name, 0.0), request.patience_s)
         if len(self._longest_patience_s) >= FORGET_PATIENCE:
@@ -156,12 +157,13 @@
         way_s = request.way_s or UNKNOWN_WAY_S
         aim_s = request.received_s + route.latency_target_s - way_s - OWN_WORK_S - spent_s
         typical_s = self._attempts.typical.typical_s(route.name)
-        soft_s = max(aim_s, now_s + LATE_FACTOR * typical_s)
+        if aim_s < now_s + typical_s:
+            aim_s = now_s + LATE_FACTOR * typical_s
         return CallTerms(
             kind=route.name,
             repeatable=route.repeatable,
             max_attempts=route.max_attempts,
-            soft_s=min(soft_s, hard_s),
+            soft_s=min(aim_s, hard_s),
             hard_s=hard_s,
         )
 
