--- a/fighinge/curl.py
+++ b/fighinge/curl.py
@@ -171,6 +171,9 @@
     try:
         return await client.fetch(request, raise_error=False)
     except CurlError as error:
+        if sending.refused_second:
+            reason = "the connection closed before a response"
+            return TransferFailure(reason, sent=True, timed_out=False, error_number=error.errno)
         timed_out = error.errno == pycurl.E_OPERATION_TIMEDOUT
         return TransferFailure(str(error), sending.started, timed_out, error.errno)
     except asyncio.CancelledError:
@@ -227,6 +230,7 @@
         "_prepare",
         "curl",
         "met_closed",
+        "refused_second",
         "started",
     )
 
@@ -245,6 +249,7 @@
         self.curl: pycurl.Curl | None = None
         self.started = False
         self.met_closed = False
+        self.refused_second = False
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Take part in a transfer."""
@@ -257,6 +262,7 @@
 
     def _about_to_send(self, _peer: str, _local: str, _peer_port: int, local_port: int) -> int:
         if self.started:
+            self.refused_second = True
             return pycurl.PREREQFUNC_ABORT
         if not self._client.is_open(local_port):
             self.met_closed = True
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -83,6 +83,7 @@
     result = _run(reply, work)
     assert isinstance(result, CallFailure)
     assert result.fault is CallFault.CONNECTION_LOST
+    assert "pre-request" not in result.reason
     assert len(arrivals) == 2
 
 
