Watch a lost source briefly, and leave peers that refuse for a while

Its log: the watch of the configuration timed out after 29.5 s without a byte, the next one of 28 s got no answer either, since the store had taken it in its outage; the router found nobody to follow for 15 s, as it asked the same two readers of its data centre, which were out of contact too, 40 times ("peer not followed"). Ruled out: membership (60 of 61 hosts had version 7 in time), the gathering of events (one watch). Change: a source that was lost is watched for 0.4 s until it answers; a peer that refuses is left for a second, so that those of other data centres are asked.

--- a/fighinge/router/follower.py
+++ b/fighinge/router/follower.py
@@ -16,11 +16,14 @@
     from fighinge.router.view import Topic, View
 
 WATCH_S = 28.0  # each watch is paid for; silence is found by probes of the connection, not by this
+REGAIN_WATCH_S = 0.4  # a watch after a failure is to end soon, since a store may not answer at all
 FIRST_RETRY_S = 0.1  # a cut watch is usually taken up again at once
 LONGEST_RETRY_S = 0.8  # well within the 3 s in which a configuration has to be in force
 RETRY_SPREAD = 0.5  # routers that lost a source together come back one by one
 ROLE_INTERVAL_S = 0.1  # how soon a router begins to read that is to
-GATHER_EVENTS_S = 0.4  # events within this come with one call; a seventh of the time that is allowed
+GATHER_EVENTS_S = (
+    0.4  # events within this come with one call; a seventh of the time that is allowed
+)
 
 
 class Follower:
@@ -89,7 +92,8 @@
         self._revision = snapshot.revision
 
     async def _watch(self, revision: int) -> None:
-        self._call = asyncio.ensure_future(self._source.watch(revision, WATCH_S))
+        wait_s = WATCH_S if self._view.is_in_contact(self._topic) else REGAIN_WATCH_S
+        self._call = asyncio.ensure_future(self._source.watch(revision, wait_s))
         try:
             changes = await self._call
         except asyncio.CancelledError:
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -37,6 +37,7 @@
 NEAREST_SHARE = 0.8  # the others are tried now and then, where the nearest are out of contact
 SPREAD = 0.2  # keeps routers from asking at the same moments
 AVOID_S = 3.0  # a peer whose view has missed changes finds out by itself meanwhile
+AVOID_REFUSING_S = 1.0  # a few others are asked meanwhile; readers lose the store by data centre
 KEEP_READING_S = 10.0  # a reader stays one while members come and go
 
 
@@ -219,6 +220,7 @@
         if isinstance(response, TransferFailure) or response.code != 200:
             reason = getattr(response, "reason", "") or f"status {response.code}"
             self._view.log.write("peer not followed", peer=peer.host, reason=reason)
+            self._avoid_until_s[peer.host] = self._clock() + AVOID_REFUSING_S
             return None
         try:
             return msgspec.msgpack.decode(response.body, type=message_type)
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -48,6 +48,9 @@
 
     ``trace`` tells for the log what was called, how it ended and when, in milliseconds from the
     request's arrival; ``is_plain`` holds while that is one answer in the usual time.
+
+    Of the servers that were ``_tried``, those ``_reached`` may have got the request, and those
+    ``_failed`` lost or spoilt its answer.
     """
 
     __slots__ = (
--- /dev/null
+++ b/tests/router/test_peer_follower.py
@@ -0,0 +1,53 @@
+"""Tests of whom a router without the store asks for its view."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from fighinge.membership.member import Member, Role
+from fighinge.router.peer_follower import AVOID_REFUSING_S, CONTACT_LOST_S, PeerFollower
+from fighinge.router.view import View
+from tests.router.builders import MemoryLog
+
+UNUSED_PORT = 9  # nothing listens there on the loopback addresses
+
+
+class _Table:
+    """Two readers of this data centre and three routers of another one; nobody listens."""
+
+    def __init__(self) -> None:
+        self.me = Member(Role.ENTRY, "127.0.0.1", "z1", 1)
+        near = [Member(Role.ENTRY, f"127.0.0.{number}", "z1", 1) for number in (2, 3)]
+        far = [Member(Role.ENTRY, f"127.0.0.{number}", "z2", 1) for number in (4, 5, 6)]
+        self._members = [*near, *far]
+
+    def reachable(self):
+        """Return all other members."""
+        return self._members
+
+
+class _Peers:
+    """Peers with that table."""
+
+    def __init__(self) -> None:
+        self.membership = self
+        self.table = _Table()
+
+
+def test_peers_that_refuse_make_way_for_others():
+    async def follow():
+        view = View(MemoryLog())
+        follower = PeerFollower.create(
+            view, _Peers(), UNUSED_PORT, time.monotonic, random.Random(3)
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(CONTACT_LOST_S + AVOID_REFUSING_S)
+        task.cancel()
+        follower.close()
+        return [line["peer"] for line in view.log.lines if line["event"] == "peer not followed"]
+
+    asked = asyncio.run(follow())
+    assert len(asked) >= 3
+    assert len(set(asked)) == len(asked)
