Share the call that may be given up between both followers

Cause: the follower of the store and that of peers had the same twenty lines; a call that ended at the moment it was given up left its mark, so that the next end of the task would have been swallowed. Ruled out: a base class for both followers, which share nothing else.

--- a/fighinge/router/follower.py
+++ b/fighinge/router/follower.py
@@ -7,6 +7,7 @@
 
 from fighinge.errors import Failure
 from fighinge.router.changes import HistoryLost
+from fighinge.router.renewable import RenewableCall
 
 if TYPE_CHECKING:
     import random
@@ -32,7 +33,6 @@
     __slots__ = (
         "_call",
         "_clock",
-        "_is_renewed",
         "_may_read",
         "_random",
         "_retry_s",
@@ -59,14 +59,11 @@
         self._random = random_source
         self._revision: int | None = None
         self._retry_s = FIRST_RETRY_S
-        self._call: asyncio.Future | None = None
-        self._is_renewed = False
+        self._call = RenewableCall()
 
     def renew(self) -> None:
         """Give up a watch that has missed changes, and read everything anew."""
-        if self._call is not None and not self._is_renewed:
-            self._is_renewed = True
-            self._call.cancel()
+        self._call.give_up()
 
     async def run(self) -> None:
         """Follow the source for as long as the task runs."""
@@ -93,17 +90,10 @@
 
     async def _watch(self, revision: int) -> None:
         wait_s = WATCH_S if self._view.is_in_contact(self._topic) else REGAIN_WATCH_S
-        self._call = asyncio.ensure_future(self._source.watch(revision, wait_s))
-        try:
-            changes = await self._call
-        except asyncio.CancelledError:
-            if not self._is_renewed:
-                raise
-            self._is_renewed = False
+        changes = await self._call.wait(self._source.watch(revision, wait_s))
+        if changes is None:
             self._revision = None
             return
-        finally:
-            self._call = None
         now_s = self._clock()
         if isinstance(changes, HistoryLost):
             self._revision = None
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -17,6 +17,7 @@
     probe_silence,
 )
 from fighinge.router.relay import CHANGES_PATH, VIEW_PATH, PeerChanges, PeerView
+from fighinge.router.renewable import RenewableCall
 from fighinge.router.view import Topic
 
 if TYPE_CHECKING:
@@ -92,7 +93,6 @@
         "_call",
         "_client",
         "_clock",
-        "_is_renewed",
         "_peers",
         "_port",
         "_random",
@@ -117,14 +117,11 @@
         self._random = random_source
         self._started_s = clock()
         self._avoid_until_s: dict[str, float] = {}
-        self._call: asyncio.Future | None = None
-        self._is_renewed = False
+        self._call = RenewableCall()
 
     def renew(self) -> None:
         """Leave a peer whose view has missed changes."""
-        if self._call is not None and not self._is_renewed:
-            self._is_renewed = True
-            self._call.cancel()
+        self._call.give_up()
 
     @classmethod
     def create(
@@ -206,17 +203,10 @@
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=timeout_s,
         )
-        self._call = asyncio.ensure_future(fetch_once(self._client, request, prepare=probe_silence))
-        try:
-            response = await self._call
-        except asyncio.CancelledError:
-            if not self._is_renewed:
-                raise
-            self._is_renewed = False
+        response = await self._call.wait(fetch_once(self._client, request, prepare=probe_silence))
+        if response is None:
             self._avoid_until_s[peer.host] = self._clock() + AVOID_S
             return None
-        finally:
-            self._call = None
         if isinstance(response, TransferFailure) or response.code != 200:
             reason = getattr(response, "reason", "") or f"status {response.code}"
             self._view.log.write("peer not followed", peer=peer.host, reason=reason)
--- /dev/null
+++ b/tests/router/test_renewable.py
@@ -0,0 +1,63 @@
+"""Tests of calls that may be given up."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fighinge.router.renewable import RenewableCall
+from tests.virtual_time import run
+
+
+async def _after(delay_s):
+    await asyncio.sleep(delay_s)
+    return "news"
+
+
+def test_call_that_is_given_up_returns_none_and_the_next_one_its_result():
+    async def work():
+        call = RenewableCall()
+        asyncio.get_running_loop().call_later(1.0, call.give_up)
+        first = await call.wait(_after(5.0))
+        return first, asyncio.get_running_loop().time(), await call.wait(_after(0.1))
+
+    first, ended_s, second = run(work())
+    assert first is None
+    assert ended_s == pytest.approx(1001.0)
+    assert second == "news"
+
+
+def test_call_is_not_given_up_before_it_is_made():
+    async def work():
+        call = RenewableCall()
+        call.give_up()
+        return await call.wait(_after(0.1))
+
+    assert run(work()) == "news"
+
+
+def test_call_that_ends_as_it_is_given_up_leaves_nothing_for_the_next():
+    async def work():
+        call = RenewableCall()
+        loop = asyncio.get_running_loop()
+        loop.call_later(1.0, loop.call_soon, call.give_up)
+        await call.wait(_after(1.0))
+        task = asyncio.create_task(call.wait(_after(5.0)))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    run(work())
+
+
+def test_end_of_the_waiting_task_is_passed_on():
+    async def work():
+        task = asyncio.create_task(RenewableCall().wait(_after(5.0)))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    run(work())
