Take the connections that wait when a router stops listening

Cause: test_planned_stop_loses_no_request failed once in 9 runs beside nine busy processes (a caller got a reset on a new connection): what waits at a listener that closes is reset by the kernel, with the request on it; a busy event loop leaves connections waiting for tens of milliseconds. Ruled out: kept connections (they are closed after an answer) and the quiet wait (the process had not read the request). Conclusion: kept; callers whose request may not be repeated would have failed.

--- a/fighinge/router/http_server.py
+++ b/fighinge/router/http_server.py
@@ -9,6 +9,8 @@
 
 from tornado import httputil
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
 
 from fighinge.router.exchange import Answer, CallerRequest
 
@@ -26,6 +28,7 @@
 TCP_INFO_BYTES = 104  # the fields that every kernel has had since the round trip was added
 RTT_OFFSET = 68  # tcpi_rtt in microseconds, of struct tcp_info in linux/tcp.h
 QUIET_S = 0.25  # a request that was sent before its caller could see the close has arrived
+BACKLOG = 1024  # connections of a second, while this process is kept from taking them
 MAX_HEADER_BYTES = 65_536  # the operators' limit is checked once the configuration is known
 MAX_BODY_BYTES = 8 * 1024 * 1024  # as above
 
@@ -38,6 +41,7 @@
         self._codec = codec
         self.clock = clock
         self._tasks: set[asyncio.Task] = set()
+        self._sockets: list[socket.socket] = []
         self.is_stopping = False
         self._is_closing = False
         self._was_quiet = True
@@ -58,7 +62,8 @@
 
         :raises OSError: if the address is taken
         """
-        self._server.listen(port, address, backlog=1024)
+        self._sockets = bind_sockets(port, address, backlog=BACKLOG)
+        self._server.add_sockets(self._sockets)
 
     def limit(self, limits: CallerLimits) -> None:
         """Take the limits for connections; those that are open already keep theirs."""
@@ -70,9 +75,24 @@
         self._server.conn_params.no_keep_alive = True
 
     def stop_listening(self) -> None:
-        """Refuse new connections."""
+        """Refuse new connections; those that wait to be taken are taken first.
+
+        The kernel resets what waits at a listener that closes, with the requests on it.
+        """
+        for listener in self._sockets:
+            self._accept_waiting(listener)
+        self._sockets = []
         self._server.stop()
 
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                connection, address = listener.accept()
+            except OSError:  # nothing waits, or no descriptor is left to take it
+                return
+            connection.setblocking(False)
+            self._server.handle_stream(IOStream(connection), address)
+
     async def quiet(self, within_s: float) -> bool:
         """Wait until no request was without an answer for a while, and return whether that was.
 
--- a/tests/router/test_http_server.py
+++ b/tests/router/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from tornado.testing import bind_unused_port
 
@@ -118,6 +119,22 @@
     assert _serve(work, call_s=0.2) == ("HTTP/1.1 200 OK", True)
 
 
+def test_connection_that_waits_to_be_taken_as_listening_ends_is_answered():
+    async def work(server, port, parts):
+        caller = socket.create_connection(("127.0.0.1", port))
+        caller.sendall(REQUEST)
+        server.leave()
+        server.stop_listening()
+        reader, writer = await asyncio.open_connection(sock=caller)
+        status, headers, _ = await _read_response(reader)
+        writer.close()
+        return status, headers["connection"]
+
+    status, connection = _serve(work)
+    assert status.startswith("HTTP/1.1 200")
+    assert connection == "close"
+
+
 def test_request_after_the_end_is_not_passed_on():
     async def work(server, port, parts):
         reader, writer = await _connect(port)
