--- a/tests/router/test_extra_calls.py
+++ b/tests/router/test_extra_calls.py
@@ -53,3 +53,14 @@
         pass
     assert not budget.take_retry(1, 1009.0)
     assert budget.take_retry(1, 1011.0)
+
+
+def test_spent_share_grows_with_the_calls_and_falls_as_the_window_moves():
+    budget = ExtraCalls(TERMS)
+    shares = [budget.spent_share(1, 1000.0)]
+    while budget.take_retry(1, 1000.0):
+        shares.append(budget.spent_share(1, 1000.0))
+    assert shares[0] == 0.0
+    assert shares == sorted(shares)
+    assert 0.9 < shares[-1] <= 1.0
+    assert budget.spent_share(1, 1011.0) == 0.0
