--- a/fighinge/router/follower.py
+++ b/fighinge/router/follower.py
@@ -22,9 +22,7 @@
 LONGEST_RETRY_S = 0.8  # well within the 3 s in which a configuration has to be in force
 RETRY_SPREAD = 0.5  # routers that lost a source together come back one by one
 ROLE_INTERVAL_S = 0.1  # how soon a router begins to read that is to
-GATHER_EVENTS_S = (
-    0.4  # events within this come with one call; a seventh of the time that is allowed
-)
+GATHER_EVENTS_S = 0.4  # events within this come with one call; a seventh of what is allowed
 
 
 class Follower:
