Write down what leaving servers and crashing requests do on the current code

Figures: of the requests that callers sent later than 3 s after a server had said that it leaves, 125 reached it within two seconds; a request that ends servers reached 6 to 20 servers later than 4 s after the third had ended (3 allowed).

The stand-in servers can now say that they leave, turn requests away with a Retry-After, and end under a request and start again; they record arrivals, statements and ends for checks.

--- /dev/null
+++ b/standins/server_events.py
@@ -0,0 +1,74 @@
+"""What the stand-in backend servers of a fleet record for the checks of the platform's rules."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from standins.shard_server import ShardServer
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """A request that reached a backend server, which may have rejected it."""
+
+    request_id: str
+    instance_id: str
+    started_ms: int
+    target: str
+    at_s: float
+
+
+class Statement(msgspec.Struct, frozen=True):
+    """What a backend server said of itself in its response to a request.
+
+    ``duration_s`` is the time for which it is valid, counted from ``at_s``.
+    """
+
+    request_id: str
+    instance_id: str
+    started_ms: int
+    at_s: float
+    duration_s: float
+
+
+class ServerEnd(msgspec.Struct, frozen=True):
+    """The end of a backend server's process under a request."""
+
+    instance_id: str
+    started_ms: int
+    target: str
+    at_s: float
+
+
+class ServerEvents:
+    """The events of all backend servers of a fleet, and the targets that end them.
+
+    ``on_end`` and ``on_restart`` are called with each server that ends or has started again.
+    """
+
+    __slots__ = (
+        "arrivals",
+        "crash_targets",
+        "ends",
+        "leavings",
+        "on_end",
+        "on_restart",
+        "refusals",
+    )
+
+    def __init__(
+        self,
+        on_restart: Callable[[ShardServer], Awaitable[object]] | None = None,
+        on_end: Callable[[ShardServer], object] | None = None,
+    ) -> None:
+        self.arrivals: list[Arrival] = []
+        self.leavings: list[Statement] = []
+        self.refusals: list[Statement] = []
+        self.ends: list[ServerEnd] = []
+        self.crash_targets: set[str] = set()
+        self.on_restart = on_restart
+        self.on_end = on_end
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -10,6 +10,8 @@
 from tornado import httputil
 from tornado.httpserver import HTTPServer
 
+from standins.server_events import Arrival, ServerEnd, ServerEvents, Statement
+
 RECORD_COUNT = 20
 RECORD_BYTES = 16
 
@@ -32,6 +34,11 @@
     ``fault`` is empty, ``lose`` (runs the request, then closes the connection without a response),
     ``error`` (runs it and answers 500) or ``shed`` (answers 503 without running it). It affects
     every ``fault_interval_requests``-th request.
+
+    With ``is_leaving``, each response says that the server leaves. With ``retry_after_s``, each
+    request is turned away with a 503 that asks to send nothing for that time. A request for a
+    target in ``events.crash_targets`` ends the process, which starts anew after
+    ``restart_delay_s``, or not at all if that is ``None``.
     """
 
     def __init__(
@@ -45,6 +52,8 @@
         queue_limit: int = 12,
         service_time_s: float = 0.005,
         started_ms: int = 1,
+        events: ServerEvents | None = None,
+        restart_delay_s: float | None = None,
     ) -> None:
         self.instance_id = instance_id
         self.service = service
@@ -54,6 +63,10 @@
         self.started_ms = started_ms
         self.fault = ""
         self.fault_interval_requests = 1
+        self.is_leaving = False
+        self.retry_after_s: float | None = None
+        self.restart_delay_s = restart_delay_s
+        self.events = events or ServerEvents()
         self.running: Counter[str] = Counter()
         self.peak_connections = 0
         self.port = 0
@@ -63,6 +76,8 @@
         self._queued = 0
         self._requests = 0
         self._runs = runs
+        self._is_stopped = False
+        self._restart: asyncio.Task | None = None
         self._server = HTTPServer(self)
 
     def start(self, port: int, host: str = "127.0.0.1") -> None:
@@ -72,6 +87,36 @@
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
+        self._is_stopped = True
+        if self._restart is not None:
+            self._restart.cancel()
+        self._close()
+
+    def crash(self, target: str) -> None:
+        """End this run of the process, and start the next one after ``restart_delay_s``."""
+        if self._is_stopped or (self._restart is not None and not self._restart.done()):
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.events.ends.append(ServerEnd(self.instance_id, self.started_ms, target, now_s))
+        if self.events.on_end is not None:
+            self.events.on_end(self)
+        self._close()
+        self._restart = asyncio.ensure_future(self._start_again())
+
+    async def _start_again(self) -> None:
+        if self.restart_delay_s is None:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.restart_delay_s)
+        self.started_ms += 1
+        self.is_leaving, self.retry_after_s = False, None
+        self._slot_semaphore = asyncio.Semaphore(self.slots)
+        self._queued = 0
+        self._server = HTTPServer(self)
+        self._server.listen(self.port, self.host)
+        if self.events.on_restart is not None:
+            await self.events.on_restart(self)
+
+    def _close(self) -> None:
         self._server.stop()
         for connection in list(self._server._connections):
             connection.stream.close()
@@ -100,10 +145,19 @@
         request_id = headers.get("X-Request-Id", "")
         if headers.get("X-Expect-Instance", self.instance_id) != self.instance_id:
             return self._write(connection, 421, {"X-Instance-Id": self.instance_id}, b"")
+        refusal = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
+        now_s = asyncio.get_running_loop().time()
+        self.events.arrivals.append(
+            Arrival(request_id, self.instance_id, self.started_ms, start_line.path, now_s)
+        )
         self._requests += 1
+        if self.retry_after_s is not None:
+            refusal["Retry-After"] = str(self.retry_after_s)
+            self._record_statement(self.events.refusals, request_id, self.retry_after_s)
+            return self._write(connection, 503, refusal, b"")
         has_fault = self.fault and self._requests % self.fault_interval_requests == 0
         if self._queued >= self._queue_limit or (has_fault and self.fault == "shed"):
-            return self._write(connection, 503, {"X-Not-Executed": "1"}, b"")
+            return self._write(connection, 503, refusal, b"")
         self._queued += 1
         try:
             await self._slot_semaphore.acquire()
@@ -111,6 +165,8 @@
             self._queued -= 1
         try:
             self._record_run(request_id, start_line, body)
+            if start_line.path in self.events.crash_targets:
+                return self.crash(start_line.path)
             await asyncio.sleep(self.service_time_s)
         finally:
             self.running[request_id] -= 1
@@ -142,9 +198,21 @@
         )
         self._runs.append(run)
 
+    def _record_statement(
+        self, statements: list[Statement], request_id: str, duration_s: float
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        statements.append(
+            Statement(request_id, self.instance_id, self.started_ms, now_s, duration_s)
+        )
+
     def _write(self, connection, status: int, headers: dict[str, str], body: bytes) -> None:
         if connection.stream is None or connection.stream.closed():
             return
+        if self.is_leaving:
+            headers = {**headers, "Server-Leaving": "1"}
+            request_id = headers.get("X-Request-Id", "")
+            self._record_statement(self.events.leavings, request_id, float("inf"))
         response_headers = httputil.HTTPHeaders({**headers, "Content-Length": str(len(body))})
         reason = httputil.responses[status]
         connection.write_headers(
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from standins.server_events import ServerEvents
 from standins.shard_server import Run, ShardServer
 from standins.store import StandinStore
 
@@ -29,6 +30,7 @@
 HOST = "search.example"
 STOP_TIMEOUT_S = 6
 POLL_INTERVAL_S = 0.03
+_networks = itertools.count(60)
 
 
 class Reply(msgspec.Struct):
@@ -47,6 +49,7 @@
         self.directory = directory
         self.network = network
         self.runs: list[Run] = []
+        self.events = ServerEvents(self.list_server)
         self.store = StandinStore()
         self.servers: list[ShardServer] = []
         self.processes: dict[int, subprocess.Popen] = {}
@@ -86,12 +89,18 @@
     async def add_server(self, service: str, zone: str, **changes) -> ShardServer:
         """Start a backend server and write its record to the store."""
         number = next(self._instances)
-        server = ShardServer(f"i-{number:03}", service, self.runs, zone=zone, **changes)
+        server = ShardServer(
+            f"i-{number:03}", service, self.runs, zone=zone, events=self.events, **changes
+        )
         server.start(BACKEND_PORT + number, f"127.{self.network}.8.1")
         self.servers.append(server)
-        await self.store.put(f"servers/{server.instance_id}", server.store_value())
+        await self.list_server(server)
         return server
 
+    async def list_server(self, server: ShardServer) -> None:
+        """Write a backend server's record to the store."""
+        await self.store.put(f"servers/{server.instance_id}", server.store_value())
+
     async def configure(self, **changes) -> int:
         """Publish the next version of the configuration and return its number."""
         self.version += 3
@@ -211,6 +220,20 @@
             connection.close()
 
 
+def run_on_fleet(directory: Path, work: Callable[[RouterFleet], Awaitable], **changes):
+    """Run a coroutine function on a new fleet and return its result."""
+
+    async def run():
+        fleet = RouterFleet(directory, next(_networks), **changes)
+        try:
+            await fleet.start()
+            return await work(fleet)
+        finally:
+            await fleet.stop()
+
+    return asyncio.run(run())
+
+
 async def wait_until(condition: Callable[[], Awaitable[bool]], within_s: float) -> None:
     """Poll a condition until it holds.
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -6,33 +6,20 @@
 import heapq
 import signal
 from collections import Counter
-from itertools import count
+from functools import partial
 
 import pytest
 
 from fighinge.router.gather import RECORD_BYTES
 from standins.shard_server import records
-from tests.platform.fleet import FRONT_PORT, SHARDS, CallerConnection, RouterFleet, wait_until
-
-_networks = count(60)
+from tests.platform.fleet import FRONT_PORT, SHARDS, CallerConnection, run_on_fleet, wait_until
 
 
 @pytest.fixture
 def with_fleet(tmp_path):
     """Return a function that runs a coroutine function on a new fleet."""
 
-    def with_fleet(work, **changes):
-        async def run():
-            fleet = RouterFleet(tmp_path, next(_networks), **changes)
-            try:
-                await fleet.start()
-                return await work(fleet)
-            finally:
-                await fleet.stop()
-
-        return asyncio.run(run())
-
-    return with_fleet
+    return partial(run_on_fleet, tmp_path)
 
 
 def test_gather_returns_the_greatest_records_of_all_shards(with_fleet):
