Log what backend servers say of themselves in their answers

The logs could not tell whether a server that says it leaves is called because its statement is not read, because a later record returned it to service, or because calls were chosen before the statement: no line mentioned a statement. The headers Server-Leaving and Retry-After (of a 503) are now decoded at the platform's boundary, and a line "backend server statement" with what the server's record says, and a counter, show each statement that is new. Nothing is decided by them yet. Tests: test_statement_of_a_server_is_decoded_unless_malformed.

--- a/fighinge/platform/headers.py
+++ b/fighinge/platform/headers.py
@@ -14,6 +14,7 @@
     MergedAnswer,
     RawResponse,
     ReportedLoad,
+    ServerStatement,
 )
 
 REQUEST_ID = "X-Request-Id"
@@ -23,11 +24,14 @@
 NOT_EXECUTED = "X-Not-Executed"
 LOAD = "X-Server-Load"
 COLD_START_LEFT = "X-Cold-Ms"
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 SHARD_SIGNATURES = "X-Part-Stamps"
 MISSING_SHARDS = "X-Missing-Parts"
 
 DEFAULT_CALLER_TIMEOUT_S = 30.0  # for callers without a deadline; a route's timeout limits it
 MAX_CALLER_TIMEOUT_S = 3600.0
+MAX_REFUSAL_S = 3600.0  # a malformed value must not exclude a server for good
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -116,6 +120,16 @@
             cold_left_s=_parse_ms_as_s(values.get(COLD_START_LEFT.lower())),
         )
 
+    def decode_statement(self, response: RawResponse) -> ServerStatement:
+        """Return what a backend server says of itself; another instance says nothing of it."""
+        if response.status == 421:
+            return ServerStatement()
+        values = {name.lower(): value for name, value in response.headers}
+        refusal_s = None
+        if response.status == 503:
+            refusal_s = _parse_retry_after_s(values.get(RETRY_AFTER.lower()))
+        return ServerStatement(values.get(LEAVING.lower(), "").strip() == "1", refusal_s)
+
     def encode_merged(self, answer: MergedAnswer) -> Answer:
         """Return the answer to a caller that is merged from several shards."""
         headers = (
@@ -170,6 +184,15 @@
     return value / 1000 if 0 <= value < float("inf") else None
 
 
+def _parse_retry_after_s(text: str | None) -> float | None:
+    """Return seconds, or ``None`` if the text is not a positive number of seconds."""
+    try:
+        value_s = float(text or "")
+    except ValueError:
+        return None
+    return min(value_s, MAX_REFUSAL_S) if value_s > 0 else None
+
+
 def _parse_connection_options(text: str) -> frozenset[str]:
     return frozenset(option.strip().lower() for option in text.split(",")) - {""}
 
--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -10,9 +10,11 @@
 from fighinge.aggregator.base import CallFailure, CallFault
 from fighinge.router.cold_limit import ColdCallWindow
 from fighinge.router.exchange import BackendResponse
+from fighinge.router.metrics import observe_statement
 
 if TYPE_CHECKING:
     from fighinge.router.decision_log import DecisionLog
+    from fighinge.router.exchange import ServerStatement
     from fighinge.router.model import BackendRecord
 
 SLOWNESS_EWMA_WEIGHT = 0.3  # three calls distinguish a slow phase from one pause
@@ -56,12 +58,14 @@
         "_last_call_number",
         "_load_reported_s",
         "_log",
+        "_refused_until_s",
         "_reported_load",
         "_shed_until_s",
         "_slowness",
         "_slowness_updated_s",
         "cold_quota",
         "connection_quota",
+        "has_stated_leaving",
         "record",
     )
 
@@ -69,6 +73,8 @@
         self.record = record
         self._log = log
         self._is_slow = False
+        self.has_stated_leaving = False
+        self._refused_until_s = float("-inf")
         self.connection_quota = 1
         self.cold_quota: int | None = None
         self._cold_calls = ColdCallWindow()
@@ -189,6 +195,24 @@
         if is_success:
             self._observe_slowness(took_s / call.typical_s, now_s)
 
+    def record_statement(self, statement: ServerStatement, now_s: float) -> None:
+        """Record what the server says of itself in a response."""
+        is_new = statement.is_leaving and not self.has_stated_leaving
+        refused_until_s = now_s + (statement.refusal_s or 0.0)
+        if is_new or refused_until_s > max(now_s, self._refused_until_s):
+            self._log.write(
+                "backend server statement",
+                backend=self.record.instance_id,
+                service=self.record.service,
+                leaving=statement.is_leaving,
+                refusal_s=statement.refusal_s,
+                record_draining=self.record.is_draining,
+                in_flight=len(self._calls),
+            )
+            observe_statement("leaving" if is_new else "refusal")
+        self.has_stated_leaving = self.has_stated_leaving or statement.is_leaving
+        self._refused_until_s = max(self._refused_until_s, refused_until_s)
+
     def _record_failure(
         self, failure: CallFailure, took_s: float, typical_s: float, now_s: float
     ) -> None:
--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -71,6 +71,7 @@
         if isinstance(raw, CallFailure):
             result = raw
         else:
+            backend.record_statement(self._codec.decode_statement(raw), self._clock())
             decoded = self._codec.decode_response(request, raw)
             if isinstance(decoded, Failure):
                 result = CallFailure(CallFault.BAD_ANSWER, decoded.reason)
--- a/fighinge/router/exchange.py
+++ b/fighinge/router/exchange.py
@@ -64,6 +64,17 @@
     body: bytes
 
 
+class ServerStatement(msgspec.Struct, frozen=True):
+    """What a backend server says of itself in a response, whatever becomes of the response.
+
+    ``is_leaving`` is final for this run of the server's process. ``refusal_s`` is the time, in
+    seconds after the response, for which it wants no requests from this router.
+    """
+
+    is_leaving: bool = False
+    refusal_s: float | None = None
+
+
 class BackendResponse(msgspec.Struct, frozen=True):
     """A backend server's response, with the header values that routing decisions use.
 
@@ -122,6 +133,9 @@
     ) -> BackendResponse | Failure:
         """Decode a backend server's response, or return why it does not match the request."""
 
+    def decode_statement(self, response: RawResponse) -> ServerStatement:
+        """Decode what the backend server that sent a response says of itself."""
+
     def encode_merged(self, answer: MergedAnswer) -> Answer:
         """Encode an answer that was merged from several shards."""
 
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -14,6 +14,11 @@
 )
 OUTCOMES = Counter("fighinge_requests", "Requests by outcome", ("route", "outcome"))
 ROUTERS = Gauge("fighinge_routers", "Routers that take work")
+STATEMENTS = Counter(
+    "fighinge_backend_statements",
+    "Statements of backend servers that change what is sent",
+    ("kind",),
+)
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 MAX_ROUTE_LABELS = 64  # bounds the label cardinality; there may be hundreds of routes
 
@@ -28,3 +33,8 @@
         _routes.add(route)
     LATENCY.labels(route).observe(took_s)
     OUTCOMES.labels(route, outcome).inc()
+
+
+def observe_statement(kind: str) -> None:
+    """Count a statement of a backend server about itself, by its kind."""
+    STATEMENTS.labels(kind).inc()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,8 +5,8 @@
 import pytest
 
 from fighinge.errors import ERROR_PROPERTIES, ErrorKind, Failure
-from fighinge.platform.headers import PlatformCodec
-from fighinge.router.exchange import MergedAnswer, RawResponse, ReportedLoad
+from fighinge.platform.headers import MAX_REFUSAL_S, PlatformCodec
+from fighinge.router.exchange import MergedAnswer, RawResponse, ReportedLoad, ServerStatement
 from tests.router.builders import request
 
 CODEC = PlatformCodec()
@@ -92,6 +92,29 @@
     assert _response(X_Server_Load=text).load == load
 
 
+@pytest.mark.parametrize(
+    ("status", "headers", "statement"),
+    [
+        (200, {}, ServerStatement()),
+        (200, {"Server_Leaving": "1"}, ServerStatement(is_leaving=True)),
+        (503, {"Server_Leaving": "1"}, ServerStatement(is_leaving=True)),
+        (200, {"Server_Leaving": "0"}, ServerStatement()),
+        (421, {"Server_Leaving": "1", "Retry_After": "3"}, ServerStatement()),
+        (503, {"Retry_After": "3"}, ServerStatement(refusal_s=3.0)),
+        (503, {"Retry_After": "0.25"}, ServerStatement(refusal_s=0.25)),
+        (503, {"Retry_After": "1e9"}, ServerStatement(refusal_s=MAX_REFUSAL_S)),
+        (200, {"Retry_After": "3"}, ServerStatement()),
+        *(
+            (503, {"Retry_After": text}, ServerStatement())
+            for text in ("0", "-1", "nan", "soon", "", "Fri, 04 Dec 2026 09:00:00 GMT")
+        ),
+    ],
+)
+def test_statement_of_a_server_is_decoded_unless_malformed(status, headers, statement):
+    pairs = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+    assert CODEC.decode_statement(RawResponse(status, pairs, b"")) == statement
+
+
 def test_hop_by_hop_headers_are_not_forwarded():
     response = _response(X_Server_Stamp="s", Connection="close", Keep_Alive="timeout=5", X_Own="1")
     answer = CODEC.encode_forwarded(response)
