Log each piece of evidence that a request crashed a server

The log showed neither which lost connections were recorded for a request, nor which of them were confirmed or withdrawn, so that the causes considered in docs/incidents/crashing-requests.md could not be told apart. Each loss, confirmation and withdrawal now has a line "crash evidence" and a counter; the trace of a call names the reason of an invalid answer. No decision changes.

--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -88,7 +88,7 @@
         self, request: CallerRequest, server: str, result: CallResult, now_s: float
     ) -> None:
         if not isinstance(result, CallFailure):
-            self.crash_suspects.record_response(server)
+            self.crash_suspects.record_response(server, now_s)
         elif result.fault is CallFault.CONNECTION_LOST:
             fingerprint = request_fingerprint(request)
             self.crash_suspects.record_lost_connection(
--- a/fighinge/router/crash_suspects.py
+++ b/fighinge/router/crash_suspects.py
@@ -8,11 +8,13 @@
 import msgspec
 
 from fighinge.facts import Fact, FactKind
+from fighinge.router.metrics import CRASH_EVIDENCE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fighinge.facts import FactBoard
+    from fighinge.router.decision_log import DecisionLog
     from fighinge.router.exchange import CallerRequest
 
 CRASHES_TO_QUARANTINE = 3  # more than a caller's own retry after one crash
@@ -42,13 +44,15 @@
     crashes.
     """
 
-    __slots__ = ("_board", "_losses", "_on_quarantine")
+    __slots__ = ("_board", "_log", "_losses", "_on_quarantine")
 
     def __init__(
         self,
         board: FactBoard,
+        log: DecisionLog,
         on_quarantine: Callable[[str], None] = lambda _fingerprint: None,
     ) -> None:
+        self._log = log
         self._board = board
         self._losses: dict[str, list[_Loss]] = {}
         self._on_quarantine = on_quarantine
@@ -66,18 +70,23 @@
         """
         losses = self._losses.setdefault(server, [])
         losses.append(_Loss(fingerprint, request_id, now_s))
+        self._write("connection lost", losses[-1], server, now_s)
         if len(self._losses) > MAX_SERVERS:
             del self._losses[next(iter(self._losses))]
 
-    def record_response(self, server: str) -> None:
+    def record_response(self, server: str, now_s: float) -> None:
         """Record that a server has answered, so calls lost there are not counted as crashes."""
-        self._losses.pop(server, None)
+        for loss in self._losses.pop(server, ()):
+            self._write("withdrawn, the server answered", loss, server, now_s)
 
     def record_refused_connection(self, server: str, now_s: float) -> None:
         """Record a refused connection, which confirms that the server has crashed."""
         for loss in self._losses.pop(server, ()):
             if now_s - loss.lost_s <= CONFIRM_WINDOW_S:
+                self._write("confirmed, the server refused a connection", loss, server, now_s)
                 self._record_crash(loss, server, now_s)
+            else:
+                self._write("expired before a confirmation", loss, server, now_s)
 
     def _record_crash(self, loss: _Loss, server: str, now_s: float) -> None:
         fingerprint = loss.fingerprint
@@ -95,6 +104,18 @@
             self._board.add(Fact(FactKind.QUARANTINE, fingerprint, reason, expires_s), now_s)
             self._on_quarantine(fingerprint)
 
+    def _write(self, evidence: str, loss: _Loss, server: str, now_s: float) -> None:
+        CRASH_EVIDENCE.labels(evidence).inc()
+        self._log.write(
+            "crash evidence",
+            evidence=evidence,
+            fingerprint=loss.fingerprint,
+            request=loss.request_id,
+            server=server,
+            age_s=round(now_s - loss.lost_s, 3),
+            crashes=len(self._crashes(loss.fingerprint, now_s)),
+        )
+
     def _crashes(self, fingerprint: str, now_s: float) -> list[tuple[str, str]]:
         """Return the request ID and server of each crash that any router has recorded."""
         values = self._board.values(FactKind.LOSS, fingerprint, now_s)
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -19,6 +19,9 @@
     "Statements of backend servers that change what is sent",
     ("kind",),
 )
+CRASH_EVIDENCE = Counter(
+    "fighinge_crash_evidence", "Evidence of requests that crash backend servers", ("evidence",)
+)
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 MAX_ROUTE_LABELS = 64  # bounds the label cardinality; there may be hundreds of routes
 
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -93,7 +93,7 @@
         self.calls = CurlBackendCalls.create()
         self._staleness = StalenessDetector(self.view, steady_clock)
         self.peers = Peers(settings, steady_clock, time.time, self._random, self._staleness)
-        suspects = CrashSuspects(self.peers.board, self._log_quarantine)
+        suspects = CrashSuspects(self.peers.board, log, self._log_quarantine)
         call_runner = CallRunner(self.calls, codec, TypicalLatencies(), suspects, steady_clock)
         self.service = RouterService(self.view, self.pool, call_runner, codec, log, steady_clock)
         self.caller_server = CallerServer(self.service, codec, steady_clock)
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -26,6 +26,7 @@
 LAST_CALL_FAILURE_FACTOR = 10.0  # an answer without one shard loses a tenth of its value or more
 LOW_BUDGET_FAILURE_FACTOR = 4.0  # a failure spends a call that another request needs
 MAX_REPEAT_CALLS = 2  # if two servers lose half of their answers, four calls get 15 of 16
+MAX_REASON_CHARS = 60  # of the reason of an invalid answer in the log
 MAX_UNSENT_CALLS = 4  # refused connections per request and service
 
 
@@ -314,7 +315,10 @@
         is_success = isinstance(result, BackendResponse) and result.is_success
         self.is_routine = self.is_routine and is_success and now_s - started_s <= logged_above_s
         times = f"{self._offset_ms(started_s)}-{self._offset_ms(now_s)}"
-        self.trace.append(f"{backend.record.instance_id} {describe_result(result)} {times}")
+        entry = f"{backend.record.instance_id} {describe_result(result)} {times}"
+        if isinstance(result, CallFailure) and result.fault is CallFault.BAD_ANSWER:
+            entry += f" ({result.reason[:MAX_REASON_CHARS]})"
+        self.trace.append(entry)
 
     def _offset_ms(self, at_s: float) -> int:
         return round(1000 * (at_s - self._request.received_s))
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -190,7 +190,7 @@
         self.typical_latencies = TypicalLatencies()
         codec = PlatformCodec()
         self.board = FactBoard()
-        suspects = CrashSuspects(self.board)
+        suspects = CrashSuspects(self.board, self.log)
         self.call_runner = CallRunner(
             self.calls, codec, self.typical_latencies, suspects, self.clock
         )
--- a/tests/router/test_crash_suspects.py
+++ b/tests/router/test_crash_suspects.py
@@ -15,6 +15,7 @@
 from tests.router.builders import (
     LOST,
     REFUSED,
+    MemoryLog,
     RouterFixture,
     backend_record,
     request,
@@ -36,7 +37,7 @@
     boards = [FactBoard(), FactBoard()]
     for board, other in zip(boards, reversed(boards), strict=True):
         board.listen(lambda fact, other=other: other.add(fact, NOW_S))
-    routers = [CrashSuspects(board) for board in boards]
+    routers = [CrashSuspects(board, MemoryLog()) for board in boards]
     for number in range(CRASHES_TO_QUARANTINE):
         assert not routers[0].is_quarantined(FINGERPRINT, NOW_S)
         _crash(routers[number % 2], number)
@@ -44,7 +45,7 @@
 
 
 def test_attempt_that_loses_many_servers_counts_once():
-    suspects = CrashSuspects(FactBoard())
+    suspects = CrashSuspects(FactBoard(), MemoryLog())
     for number in range(10):
         suspects.record_lost_connection(f"i{number}", FINGERPRINT, "r1", NOW_S)
         suspects.record_refused_connection(f"i{number}", NOW_S + 0.1)
@@ -53,7 +54,7 @@
 
 def test_server_that_crashes_with_many_attempts_counts_once():
     """Many attempts of a popular query are in flight when one server crashes."""
-    suspects = CrashSuspects(FactBoard())
+    suspects = CrashSuspects(FactBoard(), MemoryLog())
     for number in range(10):
         suspects.record_lost_connection("i1", FINGERPRINT, f"r{number}", NOW_S)
     suspects.record_refused_connection("i1", NOW_S + 0.1)
@@ -62,17 +63,17 @@
 
 @pytest.mark.parametrize("cleared_by", ["answer", "time"])
 def test_lost_connection_alone_is_not_counted_as_a_crash(cleared_by):
-    suspects = CrashSuspects(FactBoard())
+    suspects = CrashSuspects(FactBoard(), MemoryLog())
     for number in range(10):
         suspects.record_lost_connection(f"i{number}", FINGERPRINT, f"r{number}", NOW_S)
         if cleared_by == "answer":
-            suspects.record_response(f"i{number}")
+            suspects.record_response(f"i{number}", NOW_S)
         suspects.record_refused_connection(f"i{number}", NOW_S + CONFIRM_WINDOW_S + 0.1)
     assert not suspects.is_quarantined(FINGERPRINT, NOW_S + 4)
 
 
 def test_crashes_expire():
-    suspects = CrashSuspects(FactBoard())
+    suspects = CrashSuspects(FactBoard(), MemoryLog())
     for number in range(CRASHES_TO_QUARANTINE):
         _crash(suspects, number, NOW_S + number * LOSS_TTL_S)
     assert not suspects.is_quarantined(FINGERPRINT, NOW_S + 3 * LOSS_TTL_S)
