--- /dev/null
+++ b/tests/platform/test_crashing_requests.py
@@ -0,0 +1,75 @@
+"""Tests that router processes stop requests that crash the backend servers that run them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.platform.fleet import SHARDS, ZONES, run_on_fleet
+from tests.platform.guarantees import MAX_ATTEMPTS
+
+STABILITY_WINDOW_S = 4.0
+CRASHES_TO_QUARANTINE = 3
+MAX_LATE_ARRIVALS = 3
+ATTEMPTS = 5
+CALLERS = 5
+
+
+async def _repeat(fleet, path: str, method: str, interval_s: float) -> list[float]:
+    """Send a request again and again, at alternating routers, beside requests of other callers.
+
+    :returns: the times at which the servers ended
+    """
+    fleet.events.crash_targets.add(path)
+    is_finished = asyncio.Event()
+
+    async def call(number):
+        while not is_finished.is_set():
+            await fleet.ask(number % 2, f"/{'all' if number % 3 else 'one'}/{number}")
+            await asyncio.sleep(0.02)
+
+    callers = [asyncio.create_task(call(number)) for number in range(CALLERS)]
+    for attempt in range(ATTEMPTS):
+        await fleet.ask(attempt % 2, path, method=method)
+        await asyncio.sleep(interval_s)
+    is_finished.set()
+    await asyncio.gather(*callers)
+    return [end.at_s for end in fleet.events.ends if end.target == path]
+
+
+def _late_arrivals(fleet, path: str) -> int:
+    """Count the arrivals of a request that came too late after it had ended three servers."""
+    ends = [end.at_s for end in fleet.events.ends if end.target == path]
+    if len(ends) < CRASHES_TO_QUARANTINE:
+        return 0
+    limit_s = ends[CRASHES_TO_QUARANTINE - 1] + STABILITY_WINDOW_S
+    return sum(item.target == path and item.at_s > limit_s for item in fleet.events.arrivals)
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED 9: crashes are not recognised or not counted")
+@pytest.mark.parametrize(
+    ("path", "method", "calls_per_attempt", "restart_delay_s", "interval_s"),
+    [
+        ("/one/crash", "GET", MAX_ATTEMPTS, 0.3, 6.0),
+        ("/one/crash", "GET", MAX_ATTEMPTS, 2.0, 0.5),
+        ("/once/crash", "POST", 1, 0.3, 3.0),
+        ("/all/crash", "GET", MAX_ATTEMPTS * SHARDS, 2.0, 6.0),
+    ],
+)
+def test_request_that_ends_three_servers_is_not_sent_any_more(
+    path, method, calls_per_attempt, restart_delay_s, interval_s, tmp_path
+):
+    async def work(fleet):
+        for zone in ZONES:
+            await fleet.add_server("single", zone)
+        for server in fleet.servers:
+            server.restart_delay_s = restart_delay_s
+        await asyncio.sleep(1.0)
+        await _repeat(fleet, path, method, interval_s)
+        return _late_arrivals(fleet, path), len(fleet.events.ends)
+
+    late, ends = run_on_fleet(tmp_path, work)
+    assert late <= MAX_LATE_ARRIVALS
+    # No attempt may begin once three servers have ended.
+    assert ends < CRASHES_TO_QUARANTINE + calls_per_attempt
