Send nothing to a backend server that has said it leaves

Seen by callers: requests reached a server long after it had said that it leaves (DRAIN); such requests are lost when the server ends.

Cause: only the record in the store took a server out of service. Calls chosen before the statement were ruled out: requests that wait for a connection are checked again when one is free, and the arrivals were of requests sent after the statement.

Now leaving is final for one run of a server's process (identity and start), whether its answer or its record says so: Backend.is_leaving is never reset, and the pool remembers servers that are no longer listed, so that a removed and listed record of the same run does not reset it either. The statement is also taken from responses that break off or belong to another request; another instance's (421) is not. A new run of the process starts without it. All places that asked the record for it (choice, waiting for a connection, reach of a gather) ask Backend.is_in_service, so that requests are refused at once if all servers leave, instead of waiting. Routers do not tell each other: each learns it from its first answer, which the leaving server still gives, and a false statement stays with the router that got it.

--- a/fighinge/platform/headers.py
+++ b/fighinge/platform/headers.py
@@ -11,6 +11,7 @@
     BackendResponse,
     CallerRequest,
     Headers,
+    InterruptedResponse,
     MergedAnswer,
     RawResponse,
     ReportedLoad,
@@ -120,7 +121,7 @@
             cold_left_s=_parse_ms_as_s(values.get(COLD_START_LEFT.lower())),
         )
 
-    def decode_statement(self, response: RawResponse) -> ServerStatement:
+    def decode_statement(self, response: RawResponse | InterruptedResponse) -> ServerStatement:
         """Return what a backend server says of itself; another instance says nothing of it."""
         if response.status == 421:
             return ServerStatement()
--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -65,7 +65,7 @@
         "_slowness_updated_s",
         "cold_quota",
         "connection_quota",
-        "has_stated_leaving",
+        "is_leaving",
         "record",
     )
 
@@ -73,7 +73,7 @@
         self.record = record
         self._log = log
         self._is_slow = False
-        self.has_stated_leaving = False
+        self.is_leaving = record.is_draining
         self._refused_until_s = float("-inf")
         self.connection_quota = 1
         self.cold_quota: int | None = None
@@ -93,8 +93,15 @@
         self._cold_until_s = now_s + record.cold_left_s
 
     def update(self, record: BackendRecord, now_s: float) -> None:
-        """Replace the server's record by a newer one of the same process."""
+        """Replace the server's record by another one of the same process.
+
+        A process that leaves does not return: a record that says otherwise was written or read
+        late.
+        """
+        if self.is_leaving and self.record.is_draining and not record.is_draining:
+            self._log_state("leaving", "its record no longer says so", now_s)
         self.record = record
+        self.is_leaving = self.is_leaving or record.is_draining
         self._cold_until_s = max(self._cold_until_s, now_s + record.cold_left_s)
 
     @property
@@ -109,12 +116,15 @@
     def is_usable(self, now_s: float) -> bool:
         """Return whether a call may be sent now."""
         return (
-            not self.record.is_draining
-            and now_s >= self._down_until_s
+            self.is_in_service(now_s)
             and len(self._calls) < self.connection_quota
             and not self.is_at_cold_limit(now_s)
         )
 
+    def is_in_service(self, now_s: float) -> bool:
+        """Return whether the server takes calls, if it has a connection left for them."""
+        return not self.is_leaving and not self.is_down(now_s)
+
     def is_at_cold_limit(self, now_s: float) -> bool:
         """Return whether the server is cold and this router's quota for the second is used up."""
         if self.cold_quota is None or not self.is_cold(now_s):
@@ -197,7 +207,7 @@
 
     def record_statement(self, statement: ServerStatement, now_s: float) -> None:
         """Record what the server says of itself in a response."""
-        is_new = statement.is_leaving and not self.has_stated_leaving
+        is_new = statement.is_leaving and not self.is_leaving
         refused_until_s = now_s + (statement.refusal_s or 0.0)
         if is_new or refused_until_s > max(now_s, self._refused_until_s):
             self._log.write(
@@ -210,7 +220,7 @@
                 in_flight=len(self._calls),
             )
             observe_statement("leaving" if is_new else "refusal")
-        self.has_stated_leaving = self.has_stated_leaving or statement.is_leaving
+        self.is_leaving = self.is_leaving or statement.is_leaving
         self._refused_until_s = max(self._refused_until_s, refused_until_s)
 
     def _record_failure(
--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -11,7 +11,7 @@
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
 from fighinge.curl import CurlClient, TransferFailure, fetch_once
-from fighinge.router.exchange import BackendRequest, RawResponse
+from fighinge.router.exchange import BackendRequest, InterruptedResponse, RawResponse
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -56,12 +56,15 @@
             request_timeout=timeout_s,
         )
         self.content = content
+        self.response_status = 0
         self.response_headers: list[tuple[str, str]] = []
 
     def add_header_line(self, line: bytes) -> None:
         """Add a line of the response header section; those of interim responses are discarded."""
         if line.startswith(b"HTTP/"):
             self.response_headers.clear()
+            status = line.split(maxsplit=2)[1:2]
+            self.response_status = int(status[0]) if status and status[0].isdigit() else 0
             return
         name, colon, value = line.decode("latin-1").partition(":")
         if colon:
@@ -159,7 +162,13 @@
         forwarded = ForwardedRequest(address, request, timeout_s)
         response = await fetch_once(self._client, forwarded, dedicated_connection=not is_idempotent)
         if isinstance(response, TransferFailure):
-            return _failure(response)
+            failure = _failure(response)
+            if not forwarded.response_status:
+                return failure
+            headers = tuple(forwarded.response_headers)
+            return InterruptedResponse(
+                failure.fault, failure.reason, forwarded.response_status, headers
+            )
         return RawResponse(response.code, tuple(forwarded.response_headers), response.body)
 
 
--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -8,7 +8,7 @@
 from fighinge.aggregator.base import CallFailure, CallFault
 from fighinge.errors import Failure
 from fighinge.router.crash_suspects import request_fingerprint
-from fighinge.router.exchange import BackendResponse
+from fighinge.router.exchange import BackendResponse, InterruptedResponse, RawResponse
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,11 +67,12 @@
         except asyncio.CancelledError:
             backend.cancel_call(call_number, self._clock())
             raise
+        if isinstance(raw, RawResponse | InterruptedResponse):
+            backend.record_statement(self._codec.decode_statement(raw), self._clock())
         result: CallResult
         if isinstance(raw, CallFailure):
             result = raw
         else:
-            backend.record_statement(self._codec.decode_statement(raw), self._clock())
             decoded = self._codec.decode_response(request, raw)
             if isinstance(decoded, Failure):
                 result = CallFailure(CallFault.BAD_ANSWER, decoded.reason)
--- a/fighinge/router/exchange.py
+++ b/fighinge/router/exchange.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fighinge.aggregator.base import CallFailure
 from fighinge.errors import Failure
 
 Headers = tuple[tuple[str, str], ...]
@@ -64,6 +65,13 @@
     body: bytes
 
 
+class InterruptedResponse(CallFailure, frozen=True):
+    """A failed call whose response broke off after some or all of its headers."""
+
+    status: int
+    headers: Headers
+
+
 class ServerStatement(msgspec.Struct, frozen=True):
     """What a backend server says of itself in a response, whatever becomes of the response.
 
@@ -133,7 +141,7 @@
     ) -> BackendResponse | Failure:
         """Decode a backend server's response, or return why it does not match the request."""
 
-    def decode_statement(self, response: RawResponse) -> ServerStatement:
+    def decode_statement(self, response: RawResponse | InterruptedResponse) -> ServerStatement:
         """Decode what the backend server that sent a response says of itself."""
 
     def encode_merged(self, answer: MergedAnswer) -> Answer:
--- a/fighinge/router/gather.py
+++ b/fighinge/router/gather.py
@@ -145,11 +145,7 @@
         """Return whether enough shards have a reachable backend server."""
         now_s = self._clock()
         usable = sum(
-            any(
-                not (backend.record.is_draining or backend.is_down(now_s))
-                for backend in shard.backends
-            )
-            for shard in shards
+            any(backend.is_in_service(now_s) for backend in shard.backends) for shard in shards
         )
         return usable >= self._rule.required
 
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -21,6 +21,7 @@
 DEFAULT_MAX_CONNECTIONS = 8  # for services that the configuration does not describe
 INTER_ZONE_RTT_S = 0.003  # to another data centre of the region
 COST_JITTER_RATIO = 0.06  # spreads calls over equal servers; too small to prefer a worse one
+MAX_UNLISTED = 1000  # about a megabyte
 INTER_ZONE_COST_FACTOR = 0.5  # inter-zone traffic is billed; worth half a typical latency
 
 
@@ -36,7 +37,11 @@
 
 
 class BackendPool:
-    """Backend servers of the view; their statistics survive changes of their records."""
+    """Backend servers of the view; their statistics survive changes of their records.
+
+    Servers that the view no longer lists are remembered for a while: one that is listed again is
+    the same process, and what it has said of itself still holds.
+    """
 
     __slots__ = (
         "_backends",
@@ -47,6 +52,7 @@
         "_random",
         "_routers",
         "_services",
+        "_unlisted",
         "_view",
         "_zone",
     )
@@ -68,6 +74,7 @@
         self._random = random_source
         self._services: dict[str, Service] = {}
         self._backends: dict[tuple[str, int], Backend] = {}
+        self._unlisted: dict[tuple[str, int], Backend] = {}
         self._limit_share = 1.0
         view.add_listener(self.refresh)
 
@@ -107,7 +114,7 @@
             service.backends = []
         for record in self._view.backends.values():
             identity = (record.instance_id, record.started_ms)
-            backend = self._backends.get(identity)
+            backend = self._backends.get(identity) or self._unlisted.pop(identity, None)
             if backend is None:
                 backend = Backend(record, self._view.log, now_s)
             elif backend.record is not record:
@@ -117,6 +124,11 @@
             current[identity] = backend
             if record.zone not in self._view.evacuated_zones:
                 self.service(record.service).backends.append(backend)
+        for identity, backend in self._backends.items():
+            if identity not in current:
+                self._unlisted[identity] = backend
+        while len(self._unlisted) > MAX_UNLISTED:
+            del self._unlisted[next(iter(self._unlisted))]
         self._backends = current
 
     def choose(
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -239,11 +239,7 @@
     def _is_busy(self, now_s: float) -> bool:
         """Return whether a candidate is unusable only because all its connections are in use."""
         return any(
-            not (
-                backend.record.is_draining
-                or backend.is_down(now_s)
-                or backend.is_at_cold_limit(now_s)
-            )
+            backend.is_in_service(now_s) and not backend.is_at_cold_limit(now_s)
             for backend in self._candidates()
         )
 
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -41,7 +41,6 @@
     )
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED 8: statements of servers are not heeded")
 @pytest.mark.parametrize("path", ["/one/x", "/all/x"])
 @pytest.mark.parametrize("store_fault", ["", "silent"])
 def test_server_that_says_it_leaves_gets_no_request_after_the_drain_time(
@@ -57,7 +56,6 @@
     assert run_on_fleet(tmp_path, work) == (0, {200})
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED 8: statements of servers are not heeded")
 def test_late_write_of_a_leaving_servers_record_does_not_return_it_to_service(tmp_path):
     async def work(fleet):
         leaving = next(server for server in fleet.servers if server.service == "single")
@@ -73,7 +71,6 @@
     assert run_on_fleet(tmp_path, work) == set()
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED 8: statements of servers are not heeded")
 def test_request_is_refused_at_once_if_all_servers_say_that_they_leave(tmp_path):
     async def work(fleet):
         clock = asyncio.get_running_loop().time
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -212,3 +212,18 @@
         return await calls.call(address, GET, 0.1, is_idempotent=True)
 
     assert _run(reply, exercise).fault is CallFault.TIMEOUT
+
+
+def test_headers_of_a_response_that_breaks_off_are_reported():
+    async def reply(_head, writer):
+        writer.write(b"HTTP/1.1 503 Full\r\nServer-Leaving: 1\r\nContent-Length: 10\r\n\r\nhalf")
+        await writer.drain()
+        return False
+
+    async def exercise(calls, address, server):
+        return await calls.call(address, GET, 1.0, is_idempotent=True)
+
+    result = _run(reply, exercise)
+    assert result.fault is CallFault.CONNECTION_LOST
+    assert result.status == 503
+    assert ("Server-Leaving", "1") in result.headers
--- a/tests/router/test_gather.py
+++ b/tests/router/test_gather.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from fighinge.router.exchange import ServerStatement
 from fighinge.router.gather import merge_records
 from tests.router.builders import (
     LOST,
@@ -223,3 +224,22 @@
         return complete_answers
 
     assert run(send()) >= 97
+
+
+@pytest.mark.parametrize(("leaving", "status"), [(1, 200), (2, 503)])
+def test_shards_whose_servers_all_leave_are_missed_at_once(leaving, status):
+    async def send():
+        router = RouterFixture()
+        router.publish(table(gather_route(SHARDS)), *shard_backend_records(SHARDS))
+        router.set_typical_latency("all")
+        for shard in range(leaving):
+            for backend in router.pool.service(f"s{shard}").backends:
+                backend.record_statement(ServerStatement(is_leaving=True), router.clock())
+        started_s = router.clock()
+        answered = await router.send("/all/q")
+        return answered, router.clock() - started_s, [name for name, _ in router.calls.sent]
+
+    answered, took_s, sent = run(send())
+    assert answered.status == status
+    assert took_s < 0.1
+    assert not [name for name in sent if int(name[1]) < leaving]
--- a/tests/router/test_pool.py
+++ b/tests/router/test_pool.py
@@ -11,6 +11,7 @@
 from fighinge.platform.headers import PlatformCodec
 from fighinge.router.addresses import RouterAddress
 from fighinge.router.changes import BackendListed, BackendUnlisted, TablePublished, ZoneEvacuated
+from fighinge.router.exchange import ServerStatement
 from fighinge.router.pool import BackendPool
 from fighinge.router.retry_budget import RetryBudgetLimits
 from fighinge.router.view import View
@@ -164,6 +165,54 @@
     assert pool.most_chosen(NOW_S + 60) in ("i2", "i3")
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        [],
+        [BackendListed(backend_record("i1", zone="z1", cold_left_s=1.0))],
+        [BackendUnlisted("i1"), BackendListed(backend_record("i1", zone="z1"))],
+        [
+            BackendListed(backend_record("i1", zone="z1", is_draining=True)),
+            BackendListed(backend_record("i1", zone="z1")),
+        ],
+    ],
+    ids=["same record", "newer record", "unlisted and listed", "draining and ready"],
+)
+@pytest.mark.parametrize("from_peer", [False, True])
+def test_server_that_said_it_leaves_is_not_chosen_whatever_its_record_says(changes, from_peer):
+    pool = PoolFixture()
+    pool.backend("i1").record_statement(ServerStatement(is_leaving=True), NOW_S)
+    for change in changes:
+        pool.view.apply([change], NOW_S + 60, from_peer=from_peer)
+        pool.view.expire(NOW_S + 120)
+    assert pool.most_chosen(NOW_S + 120) in ("i2", "i3")
+
+
+def test_draining_server_is_not_returned_to_service_by_a_late_write_of_its_record():
+    pool = PoolFixture()
+    for is_draining in (True, False):
+        record = backend_record("i1", zone="z1", is_draining=is_draining)
+        pool.view.apply([BackendListed(record)], NOW_S)
+    assert pool.most_chosen() in ("i2", "i3")
+
+
+def test_statement_of_an_unlisted_server_holds_when_it_is_listed_again():
+    pool = PoolFixture()
+    backend = pool.backend("i1")
+    pool.view.apply([BackendUnlisted("i1")], NOW_S, from_peer=True)
+    backend.record_statement(ServerStatement(is_leaving=True), NOW_S)
+    pool.view.apply([BackendListed(backend_record("i1", zone="z1"))], NOW_S)
+    assert pool.most_chosen() in ("i2", "i3")
+
+
+def test_new_run_of_a_server_that_said_it_leaves_is_chosen():
+    pool = PoolFixture()
+    pool.backend("i1").record_statement(ServerStatement(is_leaving=True), NOW_S)
+    again = backend_record("i1", zone="z1", started_ms=2)
+    pool.view.apply([BackendListed(again)], NOW_S)
+    assert pool.most_chosen() == "i1"
+
+
 def test_tried_servers_are_not_chosen_again():
     pool = PoolFixture()
     tried = pool.pool.service("s0").backends
--- a/tests/router/test_service_call.py
+++ b/tests/router/test_service_call.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import Counter
+
 import pytest
 
 from tests.router.builders import (
@@ -153,3 +156,48 @@
     answered, took_s = run(send())
     assert answered.status == 504
     assert took_s <= 0.5
+
+
+@pytest.mark.parametrize("failure", [LOST, refusal(), error()])
+def test_server_that_said_it_leaves_gets_no_retry(failure):
+    async def send():
+        router = RouterFixture()
+        router.publish(table(route()), *THREE_RECORDS[:2])
+        for name in ("i1", "i2"):
+            router.calls.script(name, (0.001, answer(Server_Leaving=1)), (0.001, failure))
+        for number in range(4):
+            await router.send(request_id=f"r{number}")
+        return Counter(name for name, _ in router.calls.sent)
+
+    assert run(send()) == {"i1": 1, "i2": 1}
+
+
+def test_request_is_refused_at_once_if_all_servers_said_that_they_leave():
+    async def send():
+        router = RouterFixture()
+        router.publish(table(route()), *THREE_RECORDS)
+        for item in THREE_RECORDS:
+            router.calls.script(item.instance_id, (0.001, answer(Server_Leaving=1)))
+        for number in range(3):
+            await router.send(request_id=f"r{number}")
+        started_s = router.clock()
+        return await router.send(request_id="late"), router.clock() - started_s
+
+    answered, took_s = run(send())
+    assert answered.status == 503
+    assert float(dict(answered.headers)["Retry-After"]) > 0
+    assert took_s < 0.01
+
+
+def test_request_that_waits_for_a_connection_is_not_sent_to_a_server_that_leaves_meanwhile():
+    async def send():
+        router = RouterFixture()
+        router.publish(table(route(), max_connections=1), THREE_RECORDS[0])
+        router.calls.script("i1", (0.1, answer(Server_Leaving=1)))
+        first = asyncio.create_task(router.send(request_id="r0"))
+        await asyncio.sleep(0.01)
+        waiting = await asyncio.gather(*(router.send(request_id=f"r{n}") for n in (1, 2)))
+        answers = [await first, *waiting]
+        return [item.status for item in answers], len(router.calls.sent)
+
+    assert run(send()) == ([200, 503, 503], 1)
