Send a backend server nothing while it wants a pause

A server is out of service for the time of its statement, for first calls, retries and hedges alike; a new run of its process starts without it. If no other server takes calls, the request is refused at once with the time until one does as Retry-After (for a gather: until enough shards do), since an earlier return would be refused again.

--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -123,7 +123,11 @@
 
     def is_in_service(self, now_s: float) -> bool:
         """Return whether the server takes calls, if it has a connection left for them."""
-        return not self.is_leaving and not self.is_down(now_s)
+        return not (self.is_leaving or self.is_down(now_s) or self.refusal_left_s(now_s) > 0)
+
+    def refusal_left_s(self, now_s: float) -> float:
+        """Return for how many seconds the server wants no requests, by its own statement."""
+        return max(0.0, self._refused_until_s - now_s)
 
     def is_at_cold_limit(self, now_s: float) -> bool:
         """Return whether the server is cold and this router's quota for the second is used up."""
--- a/fighinge/router/gather.py
+++ b/fighinge/router/gather.py
@@ -74,6 +74,10 @@
         """Return the merged answer, or why too few shards have answered."""
         shards = [self._pool.service(name) for name in self._gather.shards]
         if not self._can_reach(shards):
+            if self.refusal_left_s(self._clock()):
+                return Failure(
+                    ErrorKind.OVERLOADED, "backend servers of too many shards want a pause"
+                )
             return Failure(ErrorKind.NO_REPLICA, "too few shards have a backend server in service")
         self.skipped_shards = self._late_shards(shards)
         self._excluded = frozenset(self.skipped_shards)
@@ -100,6 +104,16 @@
             for task in self._pending:
                 task.cancel()
 
+    def refusal_left_s(self, now_s: float) -> float | None:
+        """Return the time until enough shards have a server that takes calls, if it is known.
+
+        :returns: seconds, as :meth:`~fighinge.router.pool.BackendPool.refusal_left_s`
+        """
+        shards = map(self._pool.service, self._gather.shards)
+        times_s = (self._pool.refusal_left_s(shard, now_s) for shard in shards)
+        known_s = sorted(time_s for time_s in times_s if time_s is not None)
+        return known_s[self._rule.required - 1] if len(known_s) >= self._rule.required else None
+
     async def _collect(self) -> MergedAnswer | Failure:
         while True:
             now_s = self._clock()
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -167,6 +167,18 @@
             default=None,
         )
 
+    def refusal_left_s(self, service: Service, now_s: float) -> float | None:
+        """Return the time until a server takes calls again, if all that stay want a pause.
+
+        :returns: seconds, 0 if a server takes calls now, ``None`` if the time is unknown
+        """
+        if any(backend.is_in_service(now_s) for backend in service.backends):
+            return 0.0
+        left_s = (
+            backend.refusal_left_s(now_s) for backend in service.backends if not backend.is_leaving
+        )
+        return min((left for left in left_s if left > 0), default=None)
+
     def cost_s(
         self, backend: Backend, typical_s: float, now_s: float, failure_cost_factor: float = 0.0
     ) -> float:
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -96,7 +96,9 @@
                 result = await gather_call.run()
             finally:
                 trace = _format_traces(gather_call.calls, gather_call.skipped_shards)
-            return self._finish(request, route, version, result, trace)
+            return self._finish(
+                request, route, version, result, trace, gather_call.refusal_left_s(self._clock())
+            )
         service = self._targets.choose(route)
         if service is None:
             failure = Failure(ErrorKind.NO_REPLICA, "the route has no target")
@@ -110,7 +112,9 @@
             self._clock,
         )
         result = await call.run()
-        return self._finish(request, route, version, result, _format_traces([call], []))
+        refusal_left_s = self._pool.refusal_left_s(call.service, self._clock())
+        trace = _format_traces([call], [])
+        return self._finish(request, route, version, result, trace, refusal_left_s)
 
     def caller_disconnected(self, request: CallerRequest) -> None:
         """Log that a caller has closed its connection before the answer."""
@@ -182,8 +186,12 @@
         version: int,
         result: MergedAnswer | BackendResponse | Failure,
         trace: str,
+        refusal_left_s: float | None = None,
     ) -> Answer:
-        """Encode, count and log the outcome of a request."""
+        """Encode, count and log the outcome of a request.
+
+        :param refusal_left_s: seconds until backend servers take calls again, if they want a pause
+        """
         took_s = self._clock() - request.received_s
         if isinstance(result, MergedAnswer):
             answer = self._codec.encode_merged(result)
@@ -192,7 +200,9 @@
             answer = self._codec.encode_forwarded(result)
             outcome = "passed on"
         else:
-            answer = self._codec.encode_failure(result, _retry_after_s(result))
+            answer = self._codec.encode_failure(
+                result, _retry_after_s(result, refusal_left_s or 0.0)
+            )
             outcome = result.kind.value
         route_name = route.name if route else "none"
         observe_request(route_name, outcome, took_s)
@@ -220,15 +230,18 @@
         return answer
 
 
-def _retry_after_s(failure: Failure) -> float | None:
-    """Return the ``Retry-After`` of a failed request, in seconds, if it has not run."""
+def _retry_after_s(failure: Failure, refusal_left_s: float) -> float | None:
+    """Return the ``Retry-After`` of a failed request, in seconds, if it has not run.
+
+    A request that returns while all servers want a pause would be refused again.
+    """
     properties = ERROR_PROPERTIES[failure.kind]
     if not (properties.may_resend and properties.not_run):
         return None
     if failure.kind is ErrorKind.OVERLOADED:
-        return RETRY_AFTER_OVERLOADED_S
+        return max(RETRY_AFTER_OVERLOADED_S, refusal_left_s)
     if failure.kind is ErrorKind.NO_REPLICA:
-        return RETRY_AFTER_NO_REPLICA_S
+        return max(RETRY_AFTER_NO_REPLICA_S, refusal_left_s)
     return RETRY_AFTER_NOT_READY_S
 
 
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -327,6 +327,8 @@
             return Failure(ErrorKind.BACKEND_LOST, "no backend server answered")
         if self._calls_sent:
             return Failure(ErrorKind.OVERLOADED, "all backend servers refused the request")
+        if self._pool.refusal_left_s(self.service, self._clock()):
+            return Failure(ErrorKind.OVERLOADED, "all backend servers want a pause")
         return Failure(ErrorKind.NO_REPLICA, "no backend server is in service")
 
 
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import pytest
 
@@ -10,6 +11,8 @@
 
 DRAIN_S = 3.0
 REQUEST_INTERVAL_S = 0.02
+PAUSE_MARGIN_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
 
 
 async def _ask_for(fleet, path: str, duration_s: float) -> dict[str, tuple[int, float, int]]:
@@ -82,3 +85,24 @@
         return reply.status, "retry-after" in reply.headers, clock() - started_s < 0.5
 
     assert run_on_fleet(tmp_path, work) == (503, True, True)
+
+
+def test_server_that_wants_a_pause_gets_at_most_two_requests_until_its_end(tmp_path):
+    async def work(fleet):
+        server = next(server for server in fleet.servers if server.service == "single")
+        server.retry_after_s = 3.0
+        sent = await _ask_for(fleet, "/one/x", 4.0)
+        first_s: dict[int, float] = {}
+        for item in fleet.events.refusals:
+            first_s.setdefault(sent[item.request_id][0], item.at_s)
+        counts = Counter(
+            sent[item.request_id][0]
+            for item in fleet.events.arrivals
+            if item.instance_id == server.instance_id
+            and PAUSE_MARGIN_S < item.at_s - first_s[sent[item.request_id][0]] < 3.0
+        )
+        return max(counts.values(), default=0), {status for _, _, status in sent.values()}
+
+    most, statuses = run_on_fleet(tmp_path, work)
+    assert most <= MAX_REQUESTS_IN_PAUSE
+    assert statuses == {200}
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -127,9 +127,10 @@
     return RawResponse(200, (("X-Server-Stamp", signature), *pairs), body)
 
 
-def refusal() -> RawResponse:
+def refusal(**headers) -> RawResponse:
     """Return a refusal, by which the backend server guarantees that nothing ran."""
-    return RawResponse(503, (("X-Not-Executed", "1"),), b"")
+    pairs = tuple((name.replace("_", "-"), str(value)) for name, value in headers.items())
+    return RawResponse(503, (("X-Not-Executed", "1"), *pairs), b"")
 
 
 def error(signature: str = "sig") -> RawResponse:
--- a/tests/router/test_gather.py
+++ b/tests/router/test_gather.py
@@ -243,3 +243,19 @@
     assert answered.status == status
     assert took_s < 0.1
     assert not [name for name in sent if int(name[1]) < leaving]
+
+
+def test_caller_is_told_when_enough_shards_end_their_pause():
+    async def send():
+        router = RouterFixture()
+        router.publish(table(gather_route(SHARDS)), *shard_backend_records(SHARDS))
+        for shard in range(SHARDS):
+            for backend in router.pool.service(f"s{shard}").backends:
+                pause = ServerStatement(refusal_s=1.0 + shard)
+                backend.record_statement(pause, router.clock())
+        return await router.send("/all/q"), len(router.calls.sent)
+
+    answered, calls = run(send())
+    assert answered.status == 429
+    assert float(dict(answered.headers)["Retry-After"]) == pytest.approx(3.0, abs=0.1)
+    assert calls == 0
--- a/tests/router/test_service_call.py
+++ b/tests/router/test_service_call.py
@@ -201,3 +201,40 @@
         return [item.status for item in answers], len(router.calls.sent)
 
     assert run(send()) == ([200, 503, 503], 1)
+
+
+@pytest.mark.parametrize("other_connections", [1, 36])
+def test_server_that_wants_a_pause_gets_no_call_until_its_end(other_connections):
+    async def send():
+        router = RouterFixture()
+        router.publish(table(route(), max_connections=other_connections), *THREE_RECORDS[:2])
+        router.calls.script("i1", (0.001, refusal(Retry_After="2.5")), (0.001, None))
+        router.calls.default_delay_s = 0.05
+        await router.send(request_id="r0")
+        refused_s = router.clock()
+        while router.clock() < refused_s + 6.0:
+            await asyncio.gather(*(router.send(request_id=f"r{n}") for n in range(3)))
+        return [at_s - refused_s for name, at_s in router.calls.sent[1:] if name == "i1"]
+
+    calls_s = run(send())
+    assert calls_s
+    assert min(calls_s) >= 2.4
+
+
+def test_caller_is_told_when_the_servers_end_their_pause():
+    async def send():
+        router = RouterFixture()
+        router.publish(table(route()), *THREE_RECORDS)
+        for item, pause_s in zip(THREE_RECORDS, ("4", "2", "3"), strict=True):
+            router.calls.script(item.instance_id, (0.001, refusal(Retry_After=pause_s)))
+        for number in range(2):
+            await router.send(request_id=f"r{number}")
+        started_s, sent = router.clock(), len(router.calls.sent)
+        answered = await router.send(request_id="late")
+        return answered, router.clock() - started_s, len(router.calls.sent) - sent
+
+    answered, took_s, calls = run(send())
+    assert answered.status == 429
+    assert float(dict(answered.headers)["Retry-After"]) == pytest.approx(2.0, abs=0.1)
+    assert took_s < 0.01
+    assert calls == 0
