Recognise a server that ends under a request on a reused connection

Seen: a request that ends servers was sent on and on (BUDGET); in the logs most servers that ended were "bad_answer", with the reason that a connection was refused, and no crash evidence was recorded. Cause: if a reused connection closes without a response, libcurl opens a new one by itself, which this client forbids to carry the request; if the server refuses it, the error is E_COULDNT_CONNECT after the request was sent, which counted as an invalid answer. It is a lost connection: nothing else is known of the request. The added test failed before for the reused connection.

--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -22,8 +22,11 @@
 MAX_CONCURRENT_CALLS = 400  # 10 times the usual calls of a host at the maximum number of shards
 DEFAULT_IDLE_TIMEOUT_S = 10.0  # without a Keep-Alive timeout, most servers keep a connection longer
 KEEP_ALIVE_MARGIN_S = 0.5  # the header has whole seconds, and a request takes time to arrive
+# E_COULDNT_CONNECT is the outcome of a request on a reused connection that closed without a
+# response, if the server then refuses the connection that libcurl opens by itself.
 CONNECTION_LOST_ERRORS = frozenset(
     {
+        pycurl.E_COULDNT_CONNECT,
         pycurl.E_GOT_NOTHING,
         pycurl.E_RECV_ERROR,
         pycurl.E_SEND_ERROR,
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -227,3 +227,19 @@
     assert result.fault is CallFault.CONNECTION_LOST
     assert result.status == 503
     assert ("Server-Leaving", "1") in result.headers
+
+
+@pytest.mark.parametrize("is_first_call", [True, False])
+def test_server_that_ends_under_a_request_is_reported_as_a_lost_connection(is_first_call):
+    async def exercise(calls, address, server):
+        if not is_first_call:
+            await calls.call(address, GET, 1.0, is_idempotent=True)
+
+        async def end(_head, _writer):
+            server.stop()
+            return False
+
+        server.reply = end
+        return await calls.call(address, GET, 1.0, is_idempotent=True)
+
+    assert _run(_reply_ok, exercise).fault is CallFault.CONNECTION_LOST
