Count a server that a call reached although a later call to it was refused

Seen: one attempt of a request that ends servers ended four of them, where max-attempts of its route is 2 (BUDGET). Cause: once as many servers as allowed have the request, only those that lost its answer get it again; if such a server refused that connection, it was taken out of the servers that the request has reached, although its first call had reached it, so that two further servers were allowed. Calls that may have delivered the request are now counted for each server. The added test called 4 servers before and calls 2 now.

--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -51,8 +52,8 @@
     the request's arrival. ``is_routine`` is true as long as there are only successful calls near
     the typical latency and no retry or hedge decisions.
 
-    ``_tried`` are the servers that were called; ``_reached`` are those that may have received the
-    request; ``_failed`` are those whose answer was lost or invalid.
+    ``_tried`` are the servers that were called; ``_reached`` counts, for each server, the calls
+    that may have delivered the request; ``_failed`` are those whose answer was lost or invalid.
     """
 
     __slots__ = (
@@ -100,7 +101,7 @@
         self._may_hedge = may_hedge
         self._try_exclude = try_exclude
         self._tried: list[Backend] = []
-        self._reached: set[Backend] = set()
+        self._reached: Counter[Backend] = Counter()
         self._failed: list[Backend] = []
         self._calls_sent = 0
         self._possible_runs = 0
@@ -158,7 +159,7 @@
     ) -> None:
         limits = self._limits
         self._tried.append(backend)
-        self._reached.add(backend)
+        self._reached[backend] += 1
         if backend in self._failed:
             self._failed.remove(backend)
         self._calls_sent += 1
@@ -204,7 +205,7 @@
         those whose answer was lost: the limit applies to servers and not to calls, and a server
         that loses one answer may well return the next.
         """
-        if len(self._reached) >= self._limits.max_attempts:
+        if sum(calls > 0 for calls in self._reached.values()) >= self._limits.max_attempts:
             return [backend for backend in self._failed if backend in self.service.backends]
         return [backend for backend in self.service.backends if backend not in self._tried]
 
@@ -271,7 +272,7 @@
         """Record the result of a call and return whether it is the result of the request."""
         self._trace_result(backend, result)
         if proves_not_sent(result):
-            self._reached.discard(backend)
+            self._reached[backend] -= 1
             self._calls_sent -= 1
             self._possible_runs -= 1
             self._unsent_calls += 1
--- a/tests/router/test_service_call.py
+++ b/tests/router/test_service_call.py
@@ -238,3 +238,16 @@
     assert float(dict(answered.headers)["Retry-After"]) == pytest.approx(2.0, abs=0.1)
     assert took_s < 0.01
     assert calls == 0
+
+
+def test_request_reaches_no_further_server_after_a_refused_retry_at_a_reached_one():
+    async def send():
+        router = RouterFixture()
+        records = [backend_record(f"i{number}") for number in range(6)]
+        router.publish(table(route(max_attempts=2)), *records)
+        for item in records:
+            router.calls.script(item.instance_id, (0.001, LOST), (0.001, REFUSED))
+        await router.send()
+        return {name for name, _ in router.calls.sent}
+
+    assert len(run(send())) == 2
