Look facts up by kind and key

Each lookup on the fact board passed over all facts, up to 4,096. The check for requests that crash servers is to be made before each call instead of each request, so facts are now kept by kind and key. No behaviour changes; the tests of the board and of quarantine pass unchanged.

--- a/fighinge/facts.py
+++ b/fighinge/facts.py
@@ -47,7 +47,7 @@
     __slots__ = ("_facts", "_listeners")
 
     def __init__(self) -> None:
-        self._facts: dict[tuple[FactKind, str, str], Fact] = {}
+        self._facts: dict[tuple[FactKind, str], dict[str, Fact]] = {}
         self._listeners: list[Callable[[Fact], None]] = []
 
     def listen(self, listener: Callable[[Fact], None]) -> None:
@@ -60,18 +60,18 @@
         A fact is dropped if it has expired, if it extends a known fact by less than
         ``MIN_EXTENSION_S``, or if it is new and the board is full.
         """
-        known = self._facts.get((fact.kind, fact.key, fact.value))
+        known = self._facts.get((fact.kind, fact.key), {}).get(fact.value)
         if fact.expires_s <= now_s or (
             known and fact.expires_s - known.expires_s < MIN_EXTENSION_S
         ):
             return False
         if (
             known is None
-            and len(self._facts) >= MAX_FACTS
+            and sum(map(len, self._facts.values())) >= MAX_FACTS
             and len(self.current(now_s)) >= MAX_FACTS
         ):
             return False
-        self._facts[fact.kind, fact.key, fact.value] = fact
+        self._facts.setdefault((fact.kind, fact.key), {})[fact.value] = fact
         for listener in self._listeners:
             listener(fact)
         return True
@@ -80,20 +80,28 @@
         """Return the unexpired values of a key."""
         return [
             fact.value
-            for fact in self._facts.values()
-            if fact.kind is kind and fact.key == key and fact.expires_s > now_s
+            for fact in self._facts.get((kind, key), {}).values()
+            if fact.expires_s > now_s
         ]
 
     def remaining_s(self, kind: FactKind, key: str, now_s: float) -> float:
         """Return the time until the last fact on a key expires, 0 without one."""
         expiries_s = [
             fact.expires_s
-            for fact in self._facts.values()
-            if fact.kind is kind and fact.key == key and fact.expires_s > now_s
+            for fact in self._facts.get((kind, key), {}).values()
+            if fact.expires_s > now_s
         ]
         return max(expiries_s, default=now_s) - now_s
 
     def current(self, now_s: float) -> list[Fact]:
         """Return the facts that have not expired, and delete the others."""
-        self._facts = {name: fact for name, fact in self._facts.items() if fact.expires_s > now_s}
-        return list(self._facts.values())
+        unexpired = [
+            fact
+            for facts in self._facts.values()
+            for fact in facts.values()
+            if fact.expires_s > now_s
+        ]
+        self._facts = {}
+        for fact in unexpired:
+            self._facts.setdefault((fact.kind, fact.key), {})[fact.value] = fact
+        return unexpired
