Bound the bytes of a backend server's response

Seen: a response without a length grew until 100 MiB before it ended as a failure, and interim responses or small chunks went on until the caller's deadline. A response may now have 64 KiB of header lines, interim responses included, and 4 MiB of body; all responses in progress have 32 MiB together, beyond which only small ones go on. The connection is closed, the call counts as an invalid answer, and a retry follows where the kind allows it. The time was bounded by the caller's deadline before.

--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from functools import partial
 from io import BytesIO
 from typing import TYPE_CHECKING, Protocol
 
@@ -22,9 +23,14 @@
 CONNECT_TIMEOUT_S = 0.4  # 40 times the slowest handshake, below the SYN retransmission after 1 s
 MAX_CONCURRENT_CALLS = 400  # 10 times the usual calls of a host at the maximum number of shards
 DEFAULT_IDLE_TIMEOUT_S = 10.0  # without a Keep-Alive timeout, most servers keep a connection longer
+MAX_HEADER_BYTES = 65_536  # of one response, interim responses included
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024  # of all responses in progress; a small host has 200 MB
+SMALL_RESPONSE_BYTES = 256 * 1024  # accepted even if large responses fill the buffers
 KEEP_ALIVE_MARGIN_S = 0.5  # the header has whole seconds, and a request takes time to arrive
 # E_COULDNT_CONNECT is the outcome of a request on a reused connection that closed without a
 # response, if the server then refuses the connection that libcurl opens by itself.
+REJECT = 0  # returned to libcurl in place of a number of bytes, ends the transfer
 CONNECTION_LOST_ERRORS = frozenset(
     {
         pycurl.E_COULDNT_CONNECT,
@@ -64,18 +70,31 @@
         )
         self.content = content
         self.response_status = 0
+        self.received_bytes = 0
+        self._header_bytes = 0
         self.response_headers: list[tuple[str, str]] = []
 
-    def add_header_line(self, line: bytes) -> None:
-        """Add a line of the response header section; those of interim responses are discarded."""
+    def add_header_line(self, line: bytes) -> int | None:
+        """Add a line of the response header section; those of interim responses are discarded.
+
+        :returns: ``REJECT`` if the header section is too long
+        """
+        self._header_bytes += len(line)
+        if self._header_bytes > MAX_HEADER_BYTES:
+            return REJECT
         if line.startswith(b"HTTP/"):
             self.response_headers.clear()
             status = line.split(maxsplit=2)[1:2]
             self.response_status = int(status[0]) if status and status[0].isdigit() else 0
-            return
+            return None
         name, colon, value = line.decode("latin-1").partition(":")
         if colon:
             self.response_headers.append((name.strip(), value.strip()))
+        return None
+
+    def count_received(self, size_bytes: int) -> None:
+        """Count bytes of the response body."""
+        self.received_bytes += size_bytes
 
 
 class ForwardingCurlClient(CurlClient):
@@ -84,6 +103,7 @@
     def initialize(self, *args: object, **kwargs: object) -> None:
         """Initialise the client; Tornado calls this in place of ``__init__``."""
         self._usable_until_s: dict[int, float] = {}
+        self._buffered_bytes = 0
         super().initialize(*args, **kwargs)
 
     def is_open(self, local_port: int) -> bool:
@@ -124,14 +144,29 @@
         curl.setopt(pycurl.REQUEST_TARGET, content.target)
         curl.setopt(pycurl.HTTPHEADER, lines)
         curl.setopt(pycurl.HEADERFUNCTION, request.add_header_line)
-        curl.setopt(pycurl.WRITEFUNCTION, buffer.write)
+        curl.setopt(pycurl.WRITEFUNCTION, partial(self._receive, request, buffer))
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, round(1000 * request.connect_timeout))
         curl.setopt(pycurl.TIMEOUT_MS, max(1, round(1000 * request.request_timeout)))
         request.prepare_curl_callback(curl)
 
+    def _receive(self, request: ForwardedRequest, buffer: BytesIO, chunk: bytes) -> int:
+        """Buffer a part of a response body.
+
+        :returns: the number of bytes accepted, ``REJECT`` if there are too many
+        """
+        request.count_received(len(chunk))
+        self._buffered_bytes += len(chunk)
+        limit_bytes = MAX_RESPONSE_BYTES
+        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+            limit_bytes = SMALL_RESPONSE_BYTES
+        if request.received_bytes > limit_bytes:
+            return REJECT
+        return buffer.write(chunk)
+
     def _finish(
         self, curl: pycurl.Curl, curl_error: int | None = None, curl_message: str | None = None
     ) -> None:
+        self._buffered_bytes -= curl.info["request"].received_bytes
         if not curl_error:
             usable_s = _idle_timeout_s(curl.info["request"].response_headers)
             self._usable_until_s[curl.getinfo(pycurl.LOCAL_PORT)] = time.monotonic() + usable_s
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -5,11 +5,16 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
-from fighinge.router.backend_calls import CurlBackendCalls
+from fighinge.router.backend_calls import (
+    MAX_RESPONSE_BYTES,
+    SMALL_RESPONSE_BYTES,
+    CurlBackendCalls,
+)
 from fighinge.router.exchange import BackendRequest
 from standins.scripted_server import ScriptedServer, header, response
 
@@ -243,3 +248,66 @@
         return await calls.call(address, GET, 1.0, is_idempotent=True)
 
     assert _run(_reply_ok, exercise).fault is CallFault.CONNECTION_LOST
+
+
+ENDLESS = {
+    "body without length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536),
+    "body with length": (b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n", b"x" * 65_536),
+    "chunks": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"8\r\nxxxxxxxx\r\n" * 5000,
+    ),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-Own: 1\r\n" * 5000),
+    "one header line": (b"HTTP/1.1 200 OK\r\nX-Own: ", b"x" * 65_536),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+    "no answer": (b"", b"\x00\xff" * 32_768),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_response_without_end_is_a_failure_after_a_bounded_number_of_bytes(kind):
+    start, endless = ENDLESS[kind]
+    sent = []
+
+    async def reply(_head, writer):
+        writer.write(start)
+        while True:
+            writer.write(endless)
+            await writer.drain()
+            sent.append(len(endless))
+
+    async def exercise(calls, address, server):
+        started_s = time.monotonic()
+        result = await calls.call(address, GET, 20.0, is_idempotent=True)
+        return result, time.monotonic() - started_s
+
+    result, took_s = _run(reply, exercise)
+    assert isinstance(result, CallFailure)
+    assert took_s < 5.0
+    assert sum(sent) < 4 * MAX_RESPONSE_BYTES
+
+
+def test_small_response_is_accepted_beside_responses_without_end():
+    async def reply(head, writer):
+        if b"/endless" not in head:
+            writer.write(response(b"x" * SMALL_RESPONSE_BYTES))
+            return True
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (MAX_RESPONSE_BYTES - 1))
+        await writer.drain()
+        await asyncio.sleep(5)
+        return False
+
+    async def exercise(calls, address, server):
+        endless = BackendRequest("GET", "/endless", (("Host", "h"),), b"")
+        pending = [
+            asyncio.create_task(calls.call(address, endless, 1.5, is_idempotent=True))
+            for _ in range(10)
+        ]
+        await asyncio.sleep(0.8)
+        result = await calls.call(address, GET, 1.0, is_idempotent=True)
+        return result, await asyncio.gather(*pending)
+
+    result, failures = _run(reply, exercise)
+    assert len(result.body) == SMALL_RESPONSE_BYTES
+    assert all(isinstance(failure, CallFailure) for failure in failures)
+    assert {failure.fault for failure in failures} == {CallFault.TIMEOUT, CallFault.BAD_ANSWER}
