--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 
 import pytest
 
@@ -72,3 +73,34 @@
     assert late <= MAX_LATE_ARRIVALS
     # No attempt may begin once three servers have ended.
     assert ends < CRASHES_TO_QUARANTINE + calls_per_attempt
+
+
+def test_router_that_has_just_started_refuses_a_quarantined_request(tmp_path):
+    path = "/one/crash"
+
+    async def work(fleet):
+        for server in fleet.servers:
+            server.restart_delay_s = 0.3
+        await _repeat(fleet, path, "GET", 1.0)
+        fleet.signal(1, signal.SIGKILL)
+        await fleet.exited(1, 2.0)
+        fleet.start_router(1)
+        await fleet.ready(1)
+        await asyncio.sleep(STABILITY_WINDOW_S)
+        fleet.events.arrivals.clear()
+        _, reply = await fleet.ask(1, path)
+        return reply.status, [item for item in fleet.events.arrivals if item.target == path]
+
+    assert run_on_fleet(tmp_path, work) == (502, [])
+
+
+def test_other_requests_are_answered_after_a_crashing_one_was_in_flight_beside_them(tmp_path):
+    async def work(fleet):
+        for server in fleet.servers:
+            server.restart_delay_s = 0.3
+        await _repeat(fleet, "/all/crash", "GET", 0.5)
+        await asyncio.sleep(1.0)
+        paths = [f"/{route}/{number}" for route in ("all", "one") for number in range(CALLERS)]
+        return [(await fleet.ask(router, path))[1].status for path in paths for router in (0, 1)]
+
+    assert set(run_on_fleet(tmp_path, work)) == {200}
