Keep a router running if SIGHUP arrives while it starts

Only the start of the interpreter itself is left. test_sighup_during_the_start_does_not_end_the_router failed before (exit code -1). The soak now reports routers that end without having been stopped.

--- a/fighinge/platform/__main__.py
+++ b/fighinge/platform/__main__.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from fighinge.platform.run import main
+import signal
+
+
+def run() -> None:
+    """Run the command, which loads its modules only once SIGHUP cannot end the process."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from fighinge.platform.run import main
 
-if __name__ == "__main__":
     main()
+
+
+if __name__ == "__main__":
+    run()
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -17,7 +17,7 @@
 from standins.store import StandinStore
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
 ZONES = ("z1", "z2", "z3")
 SHARDS = 4
@@ -123,23 +123,9 @@
     def start_router(self, number: int) -> None:
         """Start a router process whose output goes to a separate file."""
         address = self.address(number)
-        settings = {
-            "node-name": f"front-{number}",
-            "ip": address,
-            "zone": ZONES[number % len(ZONES)],
-            "region": "r",
-            "zones": dict.fromkeys(ZONES, "r"),
-            "listen": {
-                "front": f"{address}:{FRONT_PORT}",
-                "ready": f"{address}:{READY_PORT}",
-                "directory": f"{address}:{ADDRESS_PORT}",
-                "control": f"{address}:{CONTROL_PORT}",
-            },
-            "internal-port-range": [GOSSIP_PORT, GOSSIP_PORT + 15],
-            "seeds": [f"{self.address(seed)}:{CONTROL_PORT}" for seed in range(3)],
-            "bounds": {"grace-s": STOP_TIMEOUT_S, "budget-slack": 56, "retry-budget-ratio": 0.2},
-            "platform": {"address": f"127.{self.network}.9.1:8229"},
-        }
+        seeds = [self.address(seed) for seed in range(3)]
+        platform = f"127.{self.network}.9.1:8229"
+        settings = router_settings(address, number, platform, seeds)
         path = self.directory / f"node-{number}.json"
         path.write_bytes(msgspec.json.encode(settings))
         with open(self.directory / f"router-{number}.log", "ab") as output:
@@ -220,6 +206,30 @@
             connection.close()
 
 
+def router_settings(address: str, number: int, platform: str, seeds: Iterable[str] = ()) -> dict:
+    """Return the settings of a router.
+
+    :param platform: host and port of the store
+    """
+    return {
+        "node-name": f"front-{number}",
+        "ip": address,
+        "zone": ZONES[number % len(ZONES)],
+        "region": "r",
+        "zones": dict.fromkeys(ZONES, "r"),
+        "listen": {
+            "front": f"{address}:{FRONT_PORT}",
+            "ready": f"{address}:{READY_PORT}",
+            "directory": f"{address}:{ADDRESS_PORT}",
+            "control": f"{address}:{CONTROL_PORT}",
+        },
+        "internal-port-range": [GOSSIP_PORT, GOSSIP_PORT + 15],
+        "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
+        "bounds": {"grace-s": STOP_TIMEOUT_S, "budget-slack": 56, "retry-budget-ratio": 0.2},
+        "platform": {"address": platform},
+    }
+
+
 def run_on_fleet(directory: Path, work: Callable[[RouterFleet], Awaitable], **changes):
     """Run a coroutine function on a new fleet and return its result."""
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -21,11 +22,13 @@
 from standins.shard_server import ShardServer
 from tests.platform.fleet import (
     FRONT_PORT,
+    READY_PORT,
     SHARDS,
     START_TIMEOUT_S,
     ZONES,
     CallerConnection,
     RouterFleet,
+    wait_until,
 )
 from tests.platform.guarantees import RecordedExchange, violations
 from tests.platform.statement_rules import Disturbance, StatementRules
@@ -105,6 +108,8 @@
         self._exchanges: list[RecordedExchange] = []
         self._injected_faults: list[str] = []
         self._disturbances: list[Disturbance] = []
+        self._stopped: set[subprocess.Popen] = set()
+        self._unexpected_ends: list[str] = []
         self._is_finished = False
         self._clock = asyncio.get_running_loop().time
         for server in fleet.servers:
@@ -133,7 +138,7 @@
         statuses = dict(Counter(item.status for item in self._exchanges))
         found = violations(self._exchanges, self._fleet.runs, SHARDS)
         rules = StatementRules(self._exchanges, self._fleet.events, self._disturbances)
-        found += rules.violations()
+        found += rules.violations() + self._unexpected_ends
         return Outcome(self._seed, self._injected_faults, found, statuses, round(served, 3))
 
     async def _call(self, number: int) -> None:
@@ -208,19 +213,33 @@
         if process.poll() is not None:
             return
         started_s = self._clock()
+        self._stopped.add(process)
         self._fleet.signal(number, signal.SIGCONT)
         self._fleet.signal(number, what)
         await self._fleet.exited(number, START_TIMEOUT_S)
         if process is self._fleet.processes[number]:
             self._fleet.start_router(number)
-            await self._fleet.ready(number)
+            await self._ready_or_stopped(number)
         self._disturb(f"router {number}", started_s)
 
+    async def _ready_or_stopped(self, number: int) -> None:
+        """Wait until a router is ready, or is stopped by another fault."""
+        process = self._fleet.processes[number]
+
+        async def is_settled() -> bool:
+            reply = await self._fleet.get(number, READY_PORT, "/v1/ready")
+            return reply.status == 200 or process.poll() is not None
+
+        await wait_until(is_settled, START_TIMEOUT_S)
+
     async def _signal_series(self, number: int, _length_s: float) -> None:
         """Send several signals in short succession before a router is stopped."""
         for _ in range(self._random.randint(2, 5)):
-            if self._fleet.processes[number].poll() is None:
-                self._fleet.signal(number, self._random.choice(SIGNALS_OF_A_SERIES))
+            process, what = self._fleet.processes[number], self._random.choice(SIGNALS_OF_A_SERIES)
+            if process.poll() is None:
+                if what is signal.SIGTERM:
+                    self._stopped.add(process)
+                self._fleet.signal(number, what)
             await asyncio.sleep(self._random.uniform(0.0, 0.2))
         await self._restart_after(number, signal.SIGTERM)
 
@@ -327,6 +346,8 @@
                 server.crash("")
         for number, process in list(self._fleet.processes.items()):
             if process.poll() is not None:
+                if process not in self._stopped:
+                    self._unexpected_ends.append(f"router {number}: ended by itself")
                 self._fleet.start_router(number)
             await self._fleet.ready(number)
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -4,15 +4,27 @@
 
 import asyncio
 import heapq
+import os
 import signal
+import subprocess
+import sys
 from collections import Counter
 from functools import partial
 
+import msgspec
 import pytest
 
 from fighinge.router.gather import RECORD_BYTES
 from standins.shard_server import records
-from tests.platform.fleet import FRONT_PORT, SHARDS, CallerConnection, run_on_fleet, wait_until
+from tests.platform.fleet import (
+    FRONT_PORT,
+    SHARDS,
+    START_TIMEOUT_S,
+    CallerConnection,
+    router_settings,
+    run_on_fleet,
+    wait_until,
+)
 
 
 @pytest.fixture
@@ -132,6 +144,18 @@
     assert with_fleet(work) == (200, None)
 
 
+def test_sighup_during_the_start_does_not_end_the_router(tmp_path):
+    """A pipe in place of the settings file holds the process until the signal has been sent."""
+    path = tmp_path / "node.json"
+    os.mkfifo(path)
+    command = [sys.executable, "-m", "fighinge.platform", "--settings-file", str(path)]
+    process = subprocess.Popen([*command, "--check-settings"], stderr=subprocess.DEVNULL)
+    with open(path, "wb") as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write(msgspec.json.encode(router_settings("127.0.0.1", 0, "127.0.0.1:1")))
+    assert process.wait(START_TIMEOUT_S) == 0
+
+
 def test_killed_router_is_removed_from_the_addresses(with_fleet):
     async def work(fleet):
         async def has_addresses(routers):
