--- a/tests/router/test_service_call.py
+++ b/tests/router/test_service_call.py
@@ -251,3 +251,16 @@
         return {name for name, _ in router.calls.sent}
 
     assert len(run(send())) == 2
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED 8: the quota is checked before calls are counted")
+def test_simultaneous_requests_do_not_exceed_the_connection_quota():
+    async def send():
+        router = RouterFixture()
+        router.publish(table(route(), max_connections=1), THREE_RECORDS[0])
+        router.calls.script("i1", (0.1, None))
+        await asyncio.gather(*(router.send(request_id=f"r{n}") for n in range(3)))
+        return sorted(at_s for _, at_s in router.calls.sent)
+
+    starts_s = run(send())
+    assert starts_s[1] - starts_s[0] == pytest.approx(0.1, abs=0.01)
