--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -27,10 +27,10 @@
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024  # of all responses in progress; a small host has 200 MB
 SMALL_RESPONSE_BYTES = 256 * 1024  # accepted even if large responses fill the buffers
+REJECT = 0  # returned to libcurl in place of a number of bytes, ends the transfer
 KEEP_ALIVE_MARGIN_S = 0.5  # the header has whole seconds, and a request takes time to arrive
 # E_COULDNT_CONNECT is the outcome of a request on a reused connection that closed without a
 # response, if the server then refuses the connection that libcurl opens by itself.
-REJECT = 0  # returned to libcurl in place of a number of bytes, ends the transfer
 CONNECTION_LOST_ERRORS = frozenset(
     {
         pycurl.E_COULDNT_CONNECT,
--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -59,7 +59,7 @@
         remaining_s: float,
         *,
         fingerprint: str,
-        is_trial: bool,
+        is_probe: bool,
         is_idempotent: bool,
     ) -> CallResult:
         """Send a request to a backend server and return the result.
@@ -67,7 +67,7 @@
         :param latency_key: key under which the latency is recorded
         :param remaining_s: time that the server may spend on the request, in seconds
         :param fingerprint: identifies the request among all attempts of all callers
-        :param is_trial: whether the request is suspected to crash servers
+        :param is_probe: whether the request is suspected to crash servers
         :param is_idempotent: whether the request may run more than once
         :returns: the decoded response, or the failure of the call
         """
@@ -75,7 +75,7 @@
         call_number = backend.start_call(self.typical_latencies.typical_s(latency_key), started_s)
         record = backend.record
         sent_call = SentCall(
-            fingerprint, request.request_id, record.service, record.run_name, started_s, is_trial
+            fingerprint, request.request_id, record.service, record.run_name, started_s, is_probe
         )
         content = self._codec.encode_request(request, record.instance_id, remaining_s)
         try:
--- a/fighinge/router/crash_suspects.py
+++ b/fighinge/router/crash_suspects.py
@@ -32,7 +32,7 @@
 class SentCall(msgspec.Struct, frozen=True):
     """A call as it was sent.
 
-    ``server`` identifies one run of the server's process. ``is_trial`` says that the request was
+    ``server`` identifies one run of the server's process. ``is_probe`` says that the request was
     known to be suspect.
     """
 
@@ -41,7 +41,7 @@
     service: str
     server: str
     started_s: float
-    is_trial: bool
+    is_probe: bool
 
 
 class Crash(msgspec.Struct, frozen=True):
@@ -49,12 +49,12 @@
 
     server: str
     service: str
-    is_trial: bool
+    is_probe: bool
 
     @classmethod
     def from_call(cls, call: SentCall) -> Crash:
         """Return the crash of the server that a call was sent to."""
-        return cls(call.server, call.service, call.is_trial)
+        return cls(call.server, call.service, call.is_probe)
 
     @classmethod
     def from_text(cls, text: str) -> Crash | None:
@@ -66,7 +66,7 @@
 
     def to_text(self) -> str:
         """Return the value of the fact."""
-        return FIELD_SEPARATOR.join((self.server, self.service, str(int(self.is_trial))))
+        return FIELD_SEPARATOR.join((self.server, self.service, str(int(self.is_probe))))
 
 
 class _Loss(msgspec.Struct):
@@ -83,7 +83,7 @@
     and only one that has ended did. Nor does a crash prove that the request is its cause, since a
     server or data centre that fails for another reason takes along all requests in flight. So two
     crashes only make a request suspect, unless a server of the same service answers it. The next
-    attempt of a suspect request is a trial, which gets one call; if a server crashes under that as
+    attempt of a suspect request is a probe, which gets one call; if a server crashes under that as
     well, and three have, the request is quarantined.
     """
 
@@ -107,7 +107,7 @@
             return True
         crashes = self._unanswered_crashes(fingerprint, now_s)
         servers = {crash.server for crash in crashes}
-        is_proved = any(crash.is_trial for crash in crashes)
+        is_proved = any(crash.is_probe for crash in crashes)
         if len(servers) < CRASHES_TO_QUARANTINE or not is_proved:
             return False
         reason = f"{len(servers)} backend servers crashed"
@@ -205,7 +205,7 @@
             request=loss.call.request_id,
             server=loss.call.server,
             service=loss.call.service,
-            trial=loss.call.is_trial,
+            probe=loss.call.is_probe,
             age_s=round(now_s - loss.lost_s, 3),
             crashes=len(self._crashes(loss.call.fingerprint, now_s)),
         )
--- a/fighinge/router/gather.py
+++ b/fighinge/router/gather.py
@@ -85,7 +85,7 @@
         self.skipped_shards = self._late_shards(shards)
         self._excluded = frozenset(self.skipped_shards)
         shards = [shard for shard in shards if shard.name not in self._excluded]
-        failure = await self._try_suspect_shards(shards)
+        failure = await self._probe_suspect_shards(shards)
         if failure is not None:
             return failure
         new_calls = [self._service_call(shard) for shard in shards]
@@ -109,10 +109,10 @@
             self._clock,
             self._may_hedge,
             partial(self._try_exclude, shard.name),
-            is_trial=shard.name in self._suspect_services,
+            is_probe=shard.name in self._suspect_services,
         )
 
-    async def _try_suspect_shards(self, shards: list[Service]) -> Failure | None:
+    async def _probe_suspect_shards(self, shards: list[Service]) -> Failure | None:
         """Call shards of a suspect request one by one until one has run it.
 
         If the request crashes servers, it then crashes one more instead of one for each shard.
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -117,7 +117,7 @@
             self._pool,
             self._call_runner,
             self._clock,
-            is_trial=service in suspect_services,
+            is_probe=service in suspect_services,
         )
         result = await call.run()
         refusal_left_s = self._pool.refusal_left_s(call.service, self._clock())
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -48,7 +48,7 @@
 class ServiceCall:
     """Calls backend servers of a service until one answers, within the limits and the budget.
 
-    A trial, for a request that is suspected to crash servers, is run by one server at most.
+    A probe, for a request that is suspected to crash servers, is run by one server at most.
 
     ``trace`` lists for the log each call, its result and its start and end in milliseconds after
     the request's arrival. ``is_routine`` is true as long as there are only successful calls near
@@ -66,7 +66,7 @@
         "_failed_response",
         "_fingerprint",
         "_in_flight",
-        "_is_trial",
+        "_is_probe",
         "_limits",
         "_may_hedge",
         "_pool",
@@ -93,7 +93,7 @@
         may_hedge: Callable[[], bool] = lambda: True,
         try_exclude: Callable[[], bool] = lambda: False,
         *,
-        is_trial: bool = False,
+        is_probe: bool = False,
     ) -> None:
         self.service = service
         self.trace: list[str] = []
@@ -107,7 +107,7 @@
         self._clock = clock
         self._may_hedge = may_hedge
         self._try_exclude = try_exclude
-        self._is_trial = is_trial
+        self._is_probe = is_probe
         self._tried: list[Backend] = []
         self._reached: Counter[Backend] = Counter()
         self._failed: list[Backend] = []
@@ -180,7 +180,7 @@
             limits.latency_key,
             limits.hard_deadline_s - now_s,
             fingerprint=self._fingerprint,
-            is_trial=self._is_trial,
+            is_probe=self._is_probe,
             is_idempotent=limits.is_idempotent,
         )
         pending[asyncio.create_task(call)] = backend
@@ -238,7 +238,7 @@
     def _may_call_again(self, now_s: float) -> bool:
         if self._calls_sent >= self._max_calls or self._unsent_calls >= MAX_UNSENT_CALLS:
             return False
-        if self._is_quarantined(now_s) or (self._is_trial and self.may_have_run):
+        if self._is_quarantined(now_s) or (self._is_probe and self.may_have_run):
             return False
         return self._limits.is_idempotent or not self.may_have_run
 
@@ -266,7 +266,7 @@
         budget = self.service.retry_budget
         if not self._may_hedge() or not budget.can_hedge(self._pool.limit_share, now_s):
             return
-        if self._is_trial or self._is_quarantined(now_s):
+        if self._is_probe or self._is_quarantined(now_s):
             return
         typical_s = self._call_runner.typical_latencies.typical_s(self._limits.latency_key)
         backend = self._choose(typical_s, now_s)
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -311,3 +311,14 @@
     assert len(result.body) == SMALL_RESPONSE_BYTES
     assert all(isinstance(failure, CallFailure) for failure in failures)
     assert {failure.fault for failure in failures} == {CallFault.TIMEOUT, CallFault.BAD_ANSWER}
+
+
+@pytest.mark.parametrize("is_listening", [True, False])
+def test_refused_connection_is_told_from_an_accepted_one_without_a_request(is_listening):
+    async def exercise(calls, address, server):
+        if not is_listening:
+            server.stop()
+            await asyncio.sleep(0.02)
+        return await calls.refuses_connections(address), server.heads
+
+    assert _run(_reply_ok, exercise) == (not is_listening, [])
--- a/tests/router/test_crash_suspects.py
+++ b/tests/router/test_crash_suspects.py
@@ -38,8 +38,8 @@
 
 
 def _start(suspects, server, *, request_id="r1", service="s0", now_s=NOW_S):
-    is_trial = service in suspects.suspect_services(FINGERPRINT, now_s)
-    return SentCall(FINGERPRINT, request_id, service, server, now_s, is_trial)
+    is_probe = service in suspects.suspect_services(FINGERPRINT, now_s)
+    return SentCall(FINGERPRINT, request_id, service, server, now_s, is_probe)
 
 
 def _start_other(server, now_s):
@@ -115,7 +115,7 @@
     for call in calls:
         suspects.record_end(call.server, NOW_S + 0.02)
     assert not suspects.is_quarantined(FINGERPRINT, NOW_S + 1)
-    _crash(suspects, "trial", now_s=NOW_S + 6)
+    _crash(suspects, "probe", now_s=NOW_S + 6)
     assert suspects.is_quarantined(FINGERPRINT, NOW_S + 7)
 
 
@@ -127,9 +127,9 @@
     for call in calls:
         suspects.record_end(call.server, NOW_S + 0.02)
     assert not suspects.is_quarantined(FINGERPRINT, NOW_S + 1)
-    trial = _start(suspects, "other", now_s=NOW_S + 1)
-    assert trial.is_trial
-    suspects.record_response(trial, NOW_S + 1.1, was_run=True)
+    probe = _start(suspects, "other", now_s=NOW_S + 1)
+    assert probe.is_probe
+    suspects.record_response(probe, NOW_S + 1.1, was_run=True)
     assert not suspects.suspect_services(FINGERPRINT, NOW_S + 2)
 
 
--- a/tests/router/test_gather.py
+++ b/tests/router/test_gather.py
@@ -277,7 +277,7 @@
         router.set_typical_latency("all")
         fingerprint = request_fingerprint(request("/all/q"))
         for shard in range(SHARDS):
-            crash = Crash(f"gone{shard}", f"s{shard}", is_trial=False).to_text()
+            crash = Crash(f"gone{shard}", f"s{shard}", is_probe=False).to_text()
             fact = Fact(FactKind.LOSS, fingerprint, crash, router.clock() + 60)
             router.board.add(fact, router.clock())
         router.calls.next_results = list(results)
