--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -135,6 +135,13 @@
                 stderr=output,
             )
 
+    def handles_hang_up(self, number: int) -> bool:
+        """Return whether a router process ignores or handles SIGHUP already."""
+        status = Path(f"/proc/{self.processes[number].pid}/status").read_text()
+        masks = dict(line.split(":", 1) for line in status.splitlines())
+        handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return bool(handled >> (signal.SIGHUP - 1) & 1)
+
     def signal(self, number: int, what: signal.Signals) -> None:
         """Send a signal to a router process."""
         self.processes[number].send_signal(what)
