Keep the pause that a restarted server wants before its record is known

One that reading the code shows: a server that starts again under its identity answers before the routers have its new record. Its statement then counts for the former run, and is forgotten when the record of the new run arrives. A pause is now kept for the new run; that a server leaves is not, since a new run follows a leaving one as a rule. The added test failed before.

--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -121,6 +121,13 @@
             and not self.is_at_cold_limit(now_s)
         )
 
+    def adopt_refusal(self, previous: Backend) -> None:
+        """Heed a statement that this run may have made before its record was known.
+
+        Until then, the answers of this run count for the previous one.
+        """
+        self._refused_until_s = previous._refused_until_s
+
     def is_in_service(self, now_s: float) -> bool:
         """Return whether the server takes calls, if it has a connection left for them."""
         return not (self.is_leaving or self.is_down(now_s) or self.refusal_left_s(now_s) > 0)
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -110,6 +110,7 @@
     def refresh(self, now_s: float) -> None:
         """Rebuild the lists of backend servers from the view."""
         current: dict[tuple[str, int], Backend] = {}
+        known = {backend.record.instance_id: backend for backend in self._backends.values()}
         for service in self._services.values():
             service.backends = []
         for record in self._view.backends.values():
@@ -117,6 +118,8 @@
             backend = self._backends.get(identity) or self._unlisted.pop(identity, None)
             if backend is None:
                 backend = Backend(record, self._view.log, now_s)
+                if record.instance_id in known:
+                    backend.adopt_refusal(known[record.instance_id])
             elif backend.record is not record:
                 backend.update(record, now_s)
             backend.connection_quota = self._connection_quota(record.service)
--- a/tests/router/test_pool.py
+++ b/tests/router/test_pool.py
@@ -213,6 +213,15 @@
     assert pool.most_chosen() == "i1"
 
 
+def test_pause_that_a_new_run_wants_before_its_record_is_known_is_kept():
+    pool = PoolFixture()
+    pool.backend("i1").record_statement(ServerStatement(refusal_s=3.0), NOW_S)
+    again = backend_record("i1", zone="z1", started_ms=2)
+    pool.view.apply([BackendListed(again)], NOW_S + 0.4)
+    assert pool.most_chosen(NOW_S + 2.9) in ("i2", "i3")
+    assert pool.most_chosen(NOW_S + 3.1) == "i1"
+
+
 def test_tried_servers_are_not_chosen_again():
     pool = PoolFixture()
     tried = pool.pool.service("s0").backends
