--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -287,7 +287,7 @@
         await asyncio.sleep(length_s)
         server.retry_after_s = None
 
-    async def _crash_servers(self, number: int, length_s: float) -> None:
+    async def _crash_servers(self, _number: int, length_s: float) -> None:
         """Repeat a request that ends each server that runs it."""
         route = self._random.choice(("one", "one", "all", "once"))
         name = f"crash{len(self._fleet.events.crash_targets)}"
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -23,7 +23,10 @@
     ("seed", "has_server_faults"),
     [*((seed, True) for seed in SHORT_SEEDS), *(case[:2] for case in FAILED_SEEDS)],
 )
-def test_seed_violates_no_guarantee(seed, has_server_faults, tmp_path):
+def test_seed_violates_no_guarantee(seed, has_server_faults, tmp_path, capsys):
     outcome = asyncio.run(run_seed(seed, tmp_path, has_server_faults=has_server_faults))
+    with capsys.disabled():
+        for known in outcome.known_red:
+            print(f"KNOWN-RED 9, seed {seed}: {known}")
     assert outcome.violations == []
     assert outcome.is_good, outcome
