Log the limits that backend servers name, and the calls to such servers by kind

The log could not tell why servers get more than the limit that they name: the header was not decoded, and routine calls are not counted by server. Nothing else changes: the limit is not heeded yet.

A value that is no rate is logged and changes nothing. A response that broke off, or that belongs to another request, does not take a limit back, as it may lack the header or be old.

--- a/fighinge/platform/headers.py
+++ b/fighinge/platform/headers.py
@@ -26,6 +26,7 @@
 LOAD = "X-Server-Load"
 COLD_START_LEFT = "X-Cold-Ms"
 LEAVING = "Server-Leaving"
+RATE_LIMIT = "Server-Limit"
 RETRY_AFTER = "Retry-After"
 SHARD_SIGNATURES = "X-Part-Stamps"
 MISSING_SHARDS = "X-Missing-Parts"
@@ -33,6 +34,8 @@
 DEFAULT_CALLER_TIMEOUT_S = 30.0  # for callers without a deadline; a route's timeout limits it
 MAX_CALLER_TIMEOUT_S = 3600.0
 MAX_REFUSAL_S = 3600.0  # a malformed value must not exclude a server for good
+MAX_REQUESTS_PER_S = 1e6  # more than any server takes; keeps the arithmetic finite
+MAX_UNREADABLE_CHARS = 60  # of a malformed value in the log
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -129,7 +132,13 @@
         refusal_s = None
         if response.status == 503:
             refusal_s = _parse_retry_after_s(values.get(RETRY_AFTER.lower()))
-        return ServerStatement(values.get(LEAVING.lower(), "").strip() == "1", refusal_s)
+        is_leaving = values.get(LEAVING.lower(), "").strip() == "1"
+        limit_text = values.get(RATE_LIMIT.lower())
+        max_requests_per_s = _parse_rate(limit_text)
+        unreadable = ""
+        if limit_text is not None and max_requests_per_s is None:
+            unreadable = limit_text[:MAX_UNREADABLE_CHARS] or "(empty)"
+        return ServerStatement(is_leaving, refusal_s, max_requests_per_s, unreadable)
 
     def encode_merged(self, answer: MergedAnswer) -> Answer:
         """Return the answer to a caller that is merged from several shards."""
@@ -194,6 +203,15 @@
     return min(value_s, MAX_REFUSAL_S) if value_s > 0 else None
 
 
+def _parse_rate(text: str | None) -> float | None:
+    """Return requests per second, or ``None`` if the text is not a number of at least 0."""
+    try:
+        value = float(text or "")
+    except ValueError:
+        return None
+    return min(value, MAX_REQUESTS_PER_S) if 0 <= value < float("inf") else None
+
+
 def _parse_connection_options(text: str) -> frozenset[str]:
     return frozenset(option.strip().lower() for option in text.split(",")) - {""}
 
--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -10,6 +10,7 @@
 from fighinge.aggregator.base import CallFailure, CallFault
 from fighinge.router.cold_limit import ColdCallWindow
 from fighinge.router.exchange import BackendResponse
+from fighinge.router.limited_calls import CallKind, LimitedCalls
 from fighinge.router.metrics import observe_statement
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
 TIMEOUTS_TO_DOWN = 2  # one may be a pause; two in a row mean that the server is gone
 SLOW_RATIO = 3.0  # slowness at which a server is logged as slow
 SLOW_END_RATIO = 1.5  # hysteresis, so that the log does not alternate
+MIN_LIMIT_LOG_INTERVAL_S = 1.0  # a limit may change from answer to answer
 COLD_FACTOR = 1.6  # calls to a cold server take about this much longer
 
 
@@ -56,6 +58,8 @@
         "_failure_rate_updated_s",
         "_is_slow",
         "_last_call_number",
+        "_limit_logged_s",
+        "_limited_calls",
         "_load_reported_s",
         "_log",
         "_refused_until_s",
@@ -66,6 +70,7 @@
         "cold_quota",
         "connection_quota",
         "is_leaving",
+        "max_requests_per_s",
         "record",
     )
 
@@ -75,6 +80,9 @@
         self._is_slow = False
         self.is_leaving = record.is_draining
         self._refused_until_s = float("-inf")
+        self.max_requests_per_s: float | None = None
+        self._limited_calls = LimitedCalls()
+        self._limit_logged_s = float("-inf")
         self.connection_quota = 1
         self.cold_quota: int | None = None
         self._cold_calls = ColdCallWindow()
@@ -173,8 +181,10 @@
         idle_s = now_s - self._failure_rate_updated_s
         return min(MAX_FAILURE_RATE, self._failure_rate * math.exp(-idle_s / FAILURE_DECAY_S))
 
-    def start_call(self, typical_s: float, now_s: float) -> int:
+    def start_call(self, typical_s: float, now_s: float, kind: CallKind = CallKind.FIRST) -> int:
         """Record the start of a call and return its number."""
+        if self.max_requests_per_s is not None:
+            self._log_limited_calls(kind, now_s)
         self._last_call_number += 1
         self._calls[self._last_call_number] = _Call(now_s, typical_s)
         if self.is_cold(now_s):
@@ -238,6 +248,43 @@
         self.is_leaving = self.is_leaving or statement.is_leaving
         self._refused_until_s = max(self._refused_until_s, refused_until_s)
 
+    def record_limit(self, statement: ServerStatement, now_s: float) -> None:
+        """Record the limit that the server names in a complete response, or that it names none.
+
+        A value that cannot be read leaves the limit as it is.
+        """
+        previous, limit = self.max_requests_per_s, statement.max_requests_per_s
+        if not statement.unreadable_limit:
+            self.max_requests_per_s = limit
+        is_switched = (previous is None) != (limit is None) or bool(statement.unreadable_limit)
+        if previous == limit and not statement.unreadable_limit:
+            return
+        if is_switched:
+            observe_statement("limit" if limit is not None else "no limit")
+        elif now_s - self._limit_logged_s < MIN_LIMIT_LOG_INTERVAL_S:
+            return
+        self._limit_logged_s = now_s
+        self._log.write(
+            "backend server limit",
+            backend=self.record.instance_id,
+            service=self.record.service,
+            max_requests_per_s=self.max_requests_per_s,
+            previous=previous,
+            unreadable=statement.unreadable_limit,
+            in_flight=len(self._calls),
+        )
+
+    def _log_limited_calls(self, kind: CallKind, now_s: float) -> None:
+        report = self._limited_calls.record(kind, now_s)
+        if report is not None:
+            self._log.write(
+                "calls to limited backend server",
+                backend=self.record.instance_id,
+                service=self.record.service,
+                max_requests_per_s=self.max_requests_per_s,
+                **report,
+            )
+
     def _record_failure(
         self, failure: CallFailure, took_s: float, typical_s: float, now_s: float
     ) -> None:
--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -17,7 +17,8 @@
     from fighinge.router.backend_calls import BackendCalls
     from fighinge.router.crash_check import CrashCheck
     from fighinge.router.crash_suspects import CrashSuspects
-    from fighinge.router.exchange import CallerRequest, Codec
+    from fighinge.router.exchange import CallerRequest, Codec, ServerStatement
+    from fighinge.router.limited_calls import CallKind
     from fighinge.router.typical_latency import TypicalLatencies
 
 CallResult = BackendResponse | CallFailure
@@ -61,6 +62,7 @@
         fingerprint: str,
         is_probe: bool,
         is_idempotent: bool,
+        kind: CallKind,
     ) -> CallResult:
         """Send a request to a backend server and return the result.
 
@@ -69,10 +71,13 @@
         :param fingerprint: identifies the request among all attempts of all callers
         :param is_probe: whether the request is suspected to crash servers
         :param is_idempotent: whether the request may run more than once
+        :param kind: why the call is made
         :returns: the decoded response, or the failure of the call
         """
         started_s = self._clock()
-        call_number = backend.start_call(self.typical_latencies.typical_s(latency_key), started_s)
+        call_number = backend.start_call(
+            self.typical_latencies.typical_s(latency_key), started_s, kind
+        )
         record = backend.record
         sent_call = SentCall(
             fingerprint, request.request_id, record.service, record.run_name, started_s, is_probe
@@ -85,8 +90,10 @@
         except asyncio.CancelledError:
             backend.cancel_call(call_number, self._clock())
             raise
+        statement = None
         if isinstance(raw, RawResponse | InterruptedResponse):
-            backend.record_statement(self._codec.decode_statement(raw), self._clock())
+            statement = self._codec.decode_statement(raw)
+            backend.record_statement(statement, self._clock())
         result: CallResult
         if isinstance(raw, CallFailure):
             result = raw
@@ -98,6 +105,8 @@
                 result = decoded
         now_s = self._clock()
         backend.finish_call(call_number, result, now_s)
+        if statement is not None and _tells_limit(statement, raw, result):
+            backend.record_limit(statement, now_s)
         self._record_crash_evidence(sent_call, backend, result, now_s)
         if isinstance(result, BackendResponse) and result.is_success:
             self.typical_latencies.observe(latency_key, now_s - started_s)
@@ -115,3 +124,16 @@
             and self.crash_suspects.record_lost_connection(call, now_s)
         ):
             self._crash_check.start(backend)
+
+
+def _tells_limit(
+    statement: ServerStatement, raw: RawResponse | InterruptedResponse, result: CallResult
+) -> bool:
+    """Return whether a response names its server's limit, or that there is none.
+
+    The headers of a response that broke off may be incomplete, and one that belongs to another
+    request may be old.
+    """
+    if isinstance(raw, InterruptedResponse):
+        return statement.max_requests_per_s is not None
+    return isinstance(result, BackendResponse) and not result.is_other_instance
--- a/fighinge/router/exchange.py
+++ b/fighinge/router/exchange.py
@@ -77,10 +77,14 @@
 
     ``is_leaving`` is final for this run of the server's process. ``refusal_s`` is the time, in
     seconds after the response, for which it wants no requests from this router.
+    ``max_requests_per_s`` is the rate that it takes from all routers together, if it names one;
+    ``unreadable_limit`` is what it named instead of a rate.
     """
 
     is_leaving: bool = False
     refusal_s: float | None = None
+    max_requests_per_s: float | None = None
+    unreadable_limit: str = ""
 
 
 class BackendResponse(msgspec.Struct, frozen=True):
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -22,6 +22,9 @@
 CRASH_EVIDENCE = Counter(
     "fighinge_crash_evidence", "Evidence of requests that crash backend servers", ("evidence",)
 )
+LIMITED_CALLS = Counter(
+    "fighinge_limited_calls", "Calls to backend servers that name a limit of their rate", ("kind",)
+)
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 MAX_ROUTE_LABELS = 64  # bounds the label cardinality; there may be hundreds of routes
 
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -13,6 +13,7 @@
 from fighinge.router.crash_suspects import request_fingerprint
 from fighinge.router.exchange import BackendResponse
 from fighinge.router.hedge_delay import hedge_delay_s
+from fighinge.router.limited_calls import CallKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -148,7 +149,8 @@
                 if backend is None:
                     await asyncio.sleep(BUSY_POLL_S)
                     continue
-                self._start_call(backend, pending, now_s)
+                kind = CallKind.RETRY if self._calls_sent else CallKind.FIRST
+                self._start_call(backend, pending, now_s, kind)
             hedge_s = self._hedge_s(now_s) if len(pending) == 1 else limits.hard_deadline_s
             timeout_s = max(0.0, min(hedge_s, limits.hard_deadline_s) - now_s)
             done, _ = await asyncio.wait(
@@ -163,7 +165,11 @@
                 self._hedge(pending, self._clock())
 
     def _start_call(
-        self, backend: Backend, pending: dict[asyncio.Task, Backend], now_s: float
+        self,
+        backend: Backend,
+        pending: dict[asyncio.Task, Backend],
+        now_s: float,
+        kind: CallKind,
     ) -> None:
         limits = self._limits
         self._tried.append(backend)
@@ -182,6 +188,7 @@
             fingerprint=self._fingerprint,
             is_probe=self._is_probe,
             is_idempotent=limits.is_idempotent,
+            kind=kind,
         )
         pending[asyncio.create_task(call)] = backend
 
@@ -276,7 +283,7 @@
             return
         if budget.acquire_hedge(self._pool.limit_share, now_s):
             self._add_trace("hedge")
-            self._start_call(backend, pending, now_s)
+            self._start_call(backend, pending, now_s, CallKind.HEDGE)
 
     def _handle_result(self, result: CallResult, backend: Backend) -> bool:
         """Record the result of a call and return whether it is the result of the request."""
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fighinge.errors import ERROR_PROPERTIES, ErrorKind, Failure
-from fighinge.platform.headers import MAX_REFUSAL_S, PlatformCodec
+from fighinge.platform.headers import MAX_REFUSAL_S, MAX_REQUESTS_PER_S, PlatformCodec
 from fighinge.router.exchange import MergedAnswer, RawResponse, ReportedLoad, ServerStatement
 from tests.router.builders import request
 
@@ -104,6 +104,15 @@
         (503, {"Retry_After": "0.25"}, ServerStatement(refusal_s=0.25)),
         (503, {"Retry_After": "1e9"}, ServerStatement(refusal_s=MAX_REFUSAL_S)),
         (200, {"Retry_After": "3"}, ServerStatement()),
+        (200, {"Server_Limit": "12.5"}, ServerStatement(max_requests_per_s=12.5)),
+        (503, {"Server_Limit": "0"}, ServerStatement(max_requests_per_s=0.0)),
+        (500, {"Server_Limit": "1e300"}, ServerStatement(max_requests_per_s=MAX_REQUESTS_PER_S)),
+        (421, {"Server_Limit": "3"}, ServerStatement()),
+        *(
+            (200, {"Server_Limit": text}, ServerStatement(unreadable_limit=text))
+            for text in ("-1", "nan", "inf", "1e999", "many", "3,5")
+        ),
+        (200, {"Server_Limit": ""}, ServerStatement(unreadable_limit="(empty)")),
         *(
             (503, {"Retry_After": text}, ServerStatement())
             for text in ("0", "-1", "nan", "soon", "", "Fri, 04 Dec 2026 09:00:00 GMT")
