--- a/standins/server_events.py
+++ b/standins/server_events.py
@@ -35,6 +35,16 @@
     duration_s: float
 
 
+class NamedLimit(msgspec.Struct, frozen=True):
+    """The rate that a backend server named in a response, ``None`` if it named none."""
+
+    request_id: str
+    instance_id: str
+    started_ms: int
+    at_s: float
+    max_requests_per_s: float | None
+
+
 class ServerEnd(msgspec.Struct, frozen=True):
     """The end of a backend server's process under a request."""
 
@@ -55,6 +65,7 @@
         "crash_targets",
         "ends",
         "leavings",
+        "limits",
         "on_end",
         "on_restart",
         "refusals",
@@ -67,6 +78,7 @@
     ) -> None:
         self.arrivals: list[Arrival] = []
         self.leavings: list[Statement] = []
+        self.limits: list[NamedLimit] = []
         self.refusals: list[Statement] = []
         self.ends: list[ServerEnd] = []
         self.crash_targets: set[str] = set()
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -10,7 +10,7 @@
 from tornado import httputil
 from tornado.httpserver import HTTPServer
 
-from standins.server_events import Arrival, ServerEnd, ServerEvents, Statement
+from standins.server_events import Arrival, NamedLimit, ServerEnd, ServerEvents, Statement
 
 RECORD_COUNT = 20
 RECORD_BYTES = 16
@@ -36,7 +36,8 @@
     every ``fault_interval_requests``-th request.
 
     With ``is_leaving``, each response says that the server leaves. With ``retry_after_s``, each
-    request is turned away with a 503 that asks to send nothing for that time. A request for a
+    request is turned away with a 503 that asks to send nothing for that time. With
+    ``max_requests_per_s``, each response names that limit. A request for a
     target in ``events.crash_targets`` ends the process, which starts anew after
     ``restart_delay_s``, or not at all if that is ``None``.
     """
@@ -65,6 +66,7 @@
         self.fault_interval_requests = 1
         self.is_leaving = False
         self.retry_after_s: float | None = None
+        self.max_requests_per_s: float | None = None
         self.restart_delay_s = restart_delay_s
         self.events = events or ServerEvents()
         self.running: Counter[str] = Counter()
@@ -108,7 +110,7 @@
             await asyncio.Event().wait()
         await asyncio.sleep(self.restart_delay_s)
         self.started_ms += 1
-        self.is_leaving, self.retry_after_s = False, None
+        self.is_leaving, self.retry_after_s, self.max_requests_per_s = False, None, None
         self._slot_semaphore = asyncio.Semaphore(self.slots)
         self._queued = 0
         self._server = HTTPServer(self)
@@ -213,6 +215,18 @@
             headers = {**headers, "Server-Leaving": "1"}
             request_id = headers.get("X-Request-Id", "")
             self._record_statement(self.events.leavings, request_id, float("inf"))
+        limit = self.max_requests_per_s
+        if limit is not None:
+            headers = {**headers, "Server-Limit": f"{limit:g}"}
+        self.events.limits.append(
+            NamedLimit(
+                headers.get("X-Request-Id", ""),
+                self.instance_id,
+                self.started_ms,
+                asyncio.get_running_loop().time(),
+                limit,
+            )
+        )
         response_headers = httputil.HTTPHeaders({**headers, "Content-Length": str(len(body))})
         reason = httputil.responses[status]
         connection.write_headers(
--- a/tests/platform/guarantees.py
+++ b/tests/platform/guarantees.py
@@ -33,6 +33,12 @@
     sent_s: float = 0.0
     done_s: float = 0.0
 
+    def has_answer_of(self, instance_id: str) -> bool:
+        """Return whether the response holds the answer of a backend server."""
+        stamps = ("x-server-stamp", "x-part-stamps")
+        text = ",".join(self.headers.get(name, "") for name in stamps)
+        return f"{instance_id}.{self.request_id}" in {part.strip() for part in text.split(",")}
+
 
 def violations(exchanges: list[RecordedExchange], runs: list[Run], shards: int) -> list[str]:
     """Return a description of each violated guarantee."""
--- a/tests/platform/statement_rules.py
+++ b/tests/platform/statement_rules.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from tests.platform.limit_rule import LimitRule
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -49,6 +51,7 @@
             *self._calls_in_pauses(),
             *self._calls_of_crashing_requests(),
             *self._wrong_quarantines(),
+            *self._excess_over_limits(),
         ]
 
     def _is_disturbed(self, name: str, from_s: float, to_s: float) -> bool:
@@ -76,7 +79,7 @@
         found = []
         for statement in self._events.leavings:
             exchange = self._exchanges.get(statement.request_id)
-            if exchange is None or not _has_passed_on(exchange, statement.instance_id):
+            if exchange is None or not exchange.has_answer_of(statement.instance_id):
                 continue
             late = sum(
                 self._exchanges[arrival.request_id].sent_s > exchange.done_s + DRAIN_S
@@ -124,6 +127,12 @@
                 found.append(f"{target}: {late} arrivals after it ended {len(ends_s)} servers")
         return found
 
+    def _excess_over_limits(self) -> list[str]:
+        def is_disturbed(router: int, from_s: float, to_s: float) -> bool:
+            return self._is_disturbed(f"router {router}", from_s, to_s)
+
+        return LimitRule(self._exchanges.values(), self._events, is_disturbed).violations()
+
     def _wrong_quarantines(self) -> list[str]:
         refused = Counter(
             item.target
@@ -132,10 +141,3 @@
             and item.target not in self._events.crash_targets
         )
         return [f"{target}: quarantined {count} times" for target, count in refused.items()]
-
-
-def _has_passed_on(exchange: RecordedExchange, instance_id: str) -> bool:
-    """Return whether a response holds the answer of a backend server."""
-    stamps = ("x-server-stamp", "x-part-stamps")
-    text = ",".join(exchange.headers.get(name, "") for name in stamps)
-    return f"{instance_id}.{exchange.request_id}" in {part.strip() for part in text.split(",")}
