Count a call to a backend server when the server is chosen

Simultaneous requests exceeded the quota of connections to a server, which resets the excess: callers saw retries and lost calls. The quota was checked when a server was chosen, but the call was counted only when its task first ran, so that all requests of one turn of the event loop passed the check.

A call now counts from the choice, in the same step. Limits that servers name need the same, since their shares are checked at the same place.

--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -52,7 +52,7 @@
         self.typical_latencies = typical_latencies
         self.crash_suspects = crash_suspects
 
-    async def run(
+    def start(
         self,
         request: CallerRequest,
         backend: Backend,
@@ -63,8 +63,10 @@
         is_probe: bool,
         is_idempotent: bool,
         kind: CallKind,
-    ) -> CallResult:
-        """Send a request to a backend server and return the result.
+    ) -> asyncio.Task[CallResult]:
+        """Count a call to a backend server at once, and send the request in a task.
+
+        The server was chosen since it may get one more call, so the call counts from the choice.
 
         :param latency_key: key under which the latency is recorded
         :param remaining_s: time that the server may spend on the request, in seconds
@@ -72,7 +74,7 @@
         :param is_probe: whether the request is suspected to crash servers
         :param is_idempotent: whether the request may run more than once
         :param kind: why the call is made
-        :returns: the decoded response, or the failure of the call
+        :returns: the task, whose result is the decoded response or the failure of the call
         """
         started_s = self._clock()
         call_number = backend.start_call(
@@ -82,14 +84,35 @@
         sent_call = SentCall(
             fingerprint, request.request_id, record.service, record.run_name, started_s, is_probe
         )
+        call = self._run(
+            request, backend, latency_key, remaining_s, sent_call, call_number, is_idempotent
+        )
+        task = asyncio.create_task(call)
+
+        def handle_end(ended: asyncio.Task[CallResult]) -> None:
+            # Also called for a task that is cancelled before its first step.
+            if ended.cancelled():
+                backend.cancel_call(call_number, self._clock())
+
+        task.add_done_callback(handle_end)
+        return task
+
+    async def _run(
+        self,
+        request: CallerRequest,
+        backend: Backend,
+        latency_key: str,
+        remaining_s: float,
+        sent_call: SentCall,
+        call_number: int,
+        is_idempotent: bool,
+    ) -> CallResult:
+        """Send a request to a backend server and return the result."""
+        record = backend.record
         content = self._codec.encode_request(request, record.instance_id, remaining_s)
-        try:
-            raw = await self._calls.call(
-                record.address, content, remaining_s, is_idempotent=is_idempotent
-            )
-        except asyncio.CancelledError:
-            backend.cancel_call(call_number, self._clock())
-            raise
+        raw = await self._calls.call(
+            record.address, content, remaining_s, is_idempotent=is_idempotent
+        )
         statement = None
         if isinstance(raw, RawResponse | InterruptedResponse):
             statement = self._codec.decode_statement(raw)
@@ -109,7 +132,7 @@
             backend.record_limit(statement, now_s)
         self._record_crash_evidence(sent_call, backend, result, now_s)
         if isinstance(result, BackendResponse) and result.is_success:
-            self.typical_latencies.observe(latency_key, now_s - started_s)
+            self.typical_latencies.observe(latency_key, now_s - sent_call.started_s)
         return result
 
     def _record_crash_evidence(
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -180,7 +180,7 @@
         self._possible_runs += 1
         self._started_s = now_s
         self._in_flight[backend] = now_s
-        call = self._call_runner.run(
+        call = self._call_runner.start(
             self._request,
             backend,
             limits.latency_key,
@@ -190,7 +190,7 @@
             is_idempotent=limits.is_idempotent,
             kind=kind,
         )
-        pending[asyncio.create_task(call)] = backend
+        pending[call] = backend
 
     def _next_backend(self, now_s: float) -> Backend | BackendResponse | Failure | None:
         """Return the next backend server, ``None`` while all are busy, or the final result."""
--- a/tests/router/test_service_call.py
+++ b/tests/router/test_service_call.py
@@ -253,7 +253,6 @@
     assert len(run(send())) == 2
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED 8: the quota is checked before calls are counted")
 def test_simultaneous_requests_do_not_exceed_the_connection_quota():
     async def send():
         router = RouterFixture()
