Let servers name limits in the soak

The soak had no server that names a limit. Seeds of before are repeated without this fault, so that they play the same faults as when they failed.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -41,6 +41,7 @@
 MIN_SUCCESS_RATIO = 0.95  # of the requests after recovery
 SERVER_RESTART_S = 0.5
 MAX_CRASH_ATTEMPTS = 6
+NAMED_LIMITS_PER_S = (0.0, 2.0, 8.0, 30.0)
 SIGNALS_OF_A_SERIES = (signal.SIGHUP, signal.SIGTERM)
 
 
@@ -63,11 +64,19 @@
 class Round:
     """Runs the faults and the callers of one seed and checks the result."""
 
-    def __init__(self, fleet: SoakFleet, seed: int, *, has_server_faults: bool = True) -> None:
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        seed: int,
+        *,
+        has_server_faults: bool = True,
+        has_limits: bool = True,
+    ) -> None:
         self._fleet = fleet
         self._random = random.Random(seed)
         self._seed = seed
         self._has_server_faults = has_server_faults
+        self._has_limits = has_limits
         self._exchanges: list[RecordedExchange] = []
         self._injected_faults: list[str] = []
         self._disturbances: list[Disturbance] = []
@@ -162,6 +171,8 @@
                 *(self._signal_series, self._say_leaving, self._say_leaving, self._want_pause),
                 *(self._want_pause, self._crash_servers, self._crash_servers),
             )
+        if self._has_limits:
+            faults += (self._name_limit, self._name_limit, self._name_limit)
         fault = self._random.choice(faults)
         length_s = self._random.uniform(0.3, 2.0)
         number = self._random.randrange(len(self._fleet.processes))
@@ -287,6 +298,14 @@
         await asyncio.sleep(length_s)
         server.retry_after_s = None
 
+    async def _name_limit(self, _number: int, length_s: float) -> None:
+        """Let a server name a limit, which changes once."""
+        server = self._random.choice(self._fleet.servers)
+        for _ in range(2):
+            server.max_requests_per_s = self._random.choice(NAMED_LIMITS_PER_S)
+            await asyncio.sleep(2 * length_s)
+        server.max_requests_per_s = None
+
     async def _crash_servers(self, _number: int, length_s: float) -> None:
         """Repeat a request that ends each server that runs it."""
         route = self._random.choice(("one", "one", "all", "once"))
@@ -327,6 +346,7 @@
             proxy.mode = ""
         for server in self._fleet.servers:
             server.retry_after_s = None
+            server.max_requests_per_s = None
             if server.is_leaving:
                 server.crash("")
         for number, process in list(self._fleet.processes.items()):
@@ -337,16 +357,26 @@
 
 
 async def run_seed(
-    seed: int, directory: Path, routers: int = ROUTERS, *, has_server_faults: bool = True
+    seed: int,
+    directory: Path,
+    routers: int = ROUTERS,
+    *,
+    has_server_faults: bool = True,
+    has_limits: bool = True,
 ) -> Outcome:
     """Run one seed on a new fleet.
 
+    Seeds of before a fault was added are repeated without it, so that they play the same faults.
+
     :param has_server_faults: whether servers also end under requests, leave and want pauses
+    :param has_limits: whether servers also name limits
     """
     fleet = SoakFleet(directory, FIRST_NETWORK + seed % NETWORK_COUNT, routers)
     try:
         await fleet.start()
-        return await Round(fleet, seed, has_server_faults=has_server_faults).run()
+        return await Round(
+            fleet, seed, has_server_faults=has_server_faults, has_limits=has_limits
+        ).run()
     finally:
         await fleet.stop()
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -9,6 +9,7 @@
 from tests.platform.soak import MIN_SUCCESS_RATIO, run_seed
 
 SHORT_SEEDS = (1, 2, 3)
+LIMIT_SEEDS = (4, 5)
 KNOWN_RED_VIOLATIONS = {3: "requests after it said it leaves"}  # KNOWN-RED 11, in some runs
 FAILED_SEEDS = (  # (seed, whether servers had faults of their own, cause) of each seed that failed
     (
@@ -23,14 +24,17 @@
 
 
 @pytest.mark.parametrize(
-    ("seed", "has_server_faults"),
+    ("seed", "has_server_faults", "has_limits"),
     [
-        *((seed, True) for seed in SHORT_SEEDS),
-        *(case[:2] for case in FAILED_SEEDS),
+        *((seed, True, False) for seed in SHORT_SEEDS),
+        *((seed, True, True) for seed in LIMIT_SEEDS),
+        *((*case[:2], False) for case in FAILED_SEEDS),
     ],
 )
-def test_seed_violates_no_guarantee(seed, has_server_faults, tmp_path, capsys):
-    outcome = asyncio.run(run_seed(seed, tmp_path, has_server_faults=has_server_faults))
+def test_seed_violates_no_guarantee(seed, has_server_faults, has_limits, tmp_path, capsys):
+    outcome = asyncio.run(
+        run_seed(seed, tmp_path, has_server_faults=has_server_faults, has_limits=has_limits)
+    )
     with capsys.disabled():
         for known in outcome.known_red:
             print(f"KNOWN-RED 9, seed {seed}: {known}")
