Set the shared options of a curl handle for each request

Tornado resets a handle after each request, so that options set when it was created held for its first request only: the protocols, the limit of a response's size, the protection of a body from being sent twice, and that no proxy of the environment is used. Requests were still sent once, as the check before each transfer is set for each request.

Found while connections were bound to an address, which held for the first one only. The test, with a proxy in the environment, failed from the second request of a handle on ([False, True, True]), and passes with the options set together with those of the request.

--- a/fighinge/curl.py
+++ b/fighinge/curl.py
@@ -88,21 +88,20 @@
             info["callback"] = _ignore
             self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "aborted")
 
-    def _curl_create(self) -> pycurl.Curl:
-        """Return a curl handle with the options that all requests share."""
-        curl = super()._curl_create()
+    def _set_shared_options(self, curl: pycurl.Curl) -> None:
+        """Set the options that all requests share; Tornado resets a handle after each request."""
         curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.FOLLOWLOCATION, 0)
         curl.setopt(pycurl.MAXFILESIZE, MAX_RESPONSE_BYTES)
         forbid_body_rewind(curl)
         skip_response_headers(curl)
-        return curl
 
     def _curl_setup_request(
         self, curl: pycurl.Curl, request: HTTPRequest, buffer: BytesIO, headers: HTTPHeaders
     ) -> None:
-        """Set only the options that differ between requests, a third of those that Tornado sets."""
+        """Set the options of a request, a third of those that Tornado sets."""
+        self._set_shared_options(curl)
         header_lines = [f"{name}: {value}" for name, value in request.headers.items()]
         curl.setopt(pycurl.URL, request.url)
         curl.setopt(pycurl.HTTPHEADER, [*header_lines, "Expect:"])
--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -120,10 +120,11 @@
         buffer: BytesIO,
         headers: HTTPHeaders,
     ) -> None:
-        """Set the options that differ between requests.
+        """Set the options of a request.
 
         In a header line for libcurl, ``Name;`` sends an empty value and ``Name:`` sends no header.
         """
+        self._set_shared_options(curl)
         content = request.content
         lines = [f"{name}: {value}" if value else f"{name};" for name, value in content.headers]
         present = {name.lower() for name, _ in content.headers}
--- /dev/null
+++ b/tests/test_curl.py
@@ -0,0 +1,36 @@
+"""Tests of the curl client that processes share."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tornado.httpclient import HTTPRequest
+
+from fighinge.curl import TransferFailure, create_client, fetch_once
+from standins.scripted_server import ScriptedServer, response
+
+REQUESTS = 3
+UNUSED_PROXY = "http://127.0.0.1:9"
+
+
+async def _reply(_head, writer):
+    writer.write(response(b"ok"))
+    await writer.drain()
+    return True
+
+
+def test_options_that_all_requests_share_hold_for_each_request_of_a_handle(monkeypatch):
+    """A handle without its shared options would use the proxy of the environment."""
+    monkeypatch.setenv("http_proxy", UNUSED_PROXY)
+
+    async def run():
+        server = ScriptedServer(_reply)
+        await server.start()
+        client = create_client(1)
+        url = f"http://127.0.0.1:{server.port}/"
+        results = [await fetch_once(client, HTTPRequest(url)) for _ in range(REQUESTS)]
+        client.close()
+        server.stop()
+        return [isinstance(result, TransferFailure) for result in results]
+
+    assert asyncio.run(run()) == [False] * REQUESTS
