Open a router's connections from its own address

A router's calls came from whatever address the kernel chose. Connections to servers, the store and peers now come from the address that the router listens on, by which its peers know it.

The test asserts that exactly the refused router loses the store; it saw none before ([] != [1]) and passes.

--- a/fighinge/curl.py
+++ b/fighinge/curl.py
@@ -51,8 +51,12 @@
     ``prepare_curl_callback`` are supported. Redirects are not followed and no proxy is used.
     """
 
-    def initialize(self, *args: object, **kwargs: object) -> None:
-        """Initialise the client; Tornado calls this instead of a constructor."""
+    def initialize(self, *args: object, source_address: str = "", **kwargs: object) -> None:
+        """Initialise the client; Tornado calls this instead of a constructor.
+
+        :param source_address: local address of all connections, chosen by the kernel if empty
+        """
+        self._source_address = source_address
         self._fd_by_port: dict[int, int] = {}
         self._port_by_fd: dict[int, int] = {}
         super().initialize(*args, **kwargs)
@@ -94,6 +98,8 @@
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.FOLLOWLOCATION, 0)
         curl.setopt(pycurl.MAXFILESIZE, MAX_RESPONSE_BYTES)
+        if self._source_address:
+            curl.setopt(pycurl.INTERFACE, f"host!{self._source_address}")
         forbid_body_rewind(curl)
         skip_response_headers(curl)
 
@@ -137,12 +143,15 @@
             super()._handle_timeout()
 
 
-def create_client(max_concurrent_calls: int) -> CurlClient:
+def create_client(max_concurrent_calls: int, source_address: str = "") -> CurlClient:
     """Return a client with its own connection cache.
 
     :param max_concurrent_calls: number of requests in flight, beyond which requests are queued
+    :param source_address: local address of all connections, chosen by the kernel if empty
     """
-    return CurlClient(force_instance=True, max_clients=max_concurrent_calls)
+    return CurlClient(
+        force_instance=True, max_clients=max_concurrent_calls, source_address=source_address
+    )
 
 
 async def fetch_once(
--- a/fighinge/platform/run.py
+++ b/fighinge/platform/run.py
@@ -48,9 +48,10 @@
     :param path: the settings file, which is read again after a change
     """
     log = DecisionLog(steady_clock, time.time)
+    prefixes = {Topic.CONFIGURATION: OPERATOR_PREFIX, Topic.BACKENDS: SERVERS_PREFIX}
     sources = {
-        Topic.CONFIGURATION: PlatformStore.from_address(settings.platform_address, OPERATOR_PREFIX),
-        Topic.BACKENDS: PlatformStore.from_address(settings.platform_address, SERVERS_PREFIX),
+        topic: PlatformStore.from_address(settings.platform_address, prefix, settings.address)
+        for topic, prefix in prefixes.items()
     }
     process = Router(settings, PlatformCodec(), sources, log, partial(read_settings, path))
     process.start()
--- a/fighinge/platform/store.py
+++ b/fighinge/platform/store.py
@@ -67,9 +67,12 @@
         self.calls = 0
 
     @classmethod
-    def from_address(cls, address: str, prefix: str) -> PlatformStore:
-        """Return a reader of one prefix with a separate HTTP client."""
-        client = create_client(MAX_CONCURRENT_CALLS)
+    def from_address(cls, address: str, prefix: str, source_address: str = "") -> PlatformStore:
+        """Return a reader of one prefix with a separate HTTP client.
+
+        :param source_address: local address of all connections, chosen by the kernel if empty
+        """
+        client = create_client(MAX_CONCURRENT_CALLS, source_address)
         return cls(address, prefix, client)
 
     def close(self) -> None:
--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -181,15 +181,22 @@
     the request, it is unknown whether the request was executed.
     """
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_source_address")
 
-    def __init__(self, client: ForwardingCurlClient) -> None:
+    def __init__(self, client: ForwardingCurlClient, source_address: str = "") -> None:
         self._client = client
+        self._source_address = source_address
 
     @classmethod
-    def create(cls) -> CurlBackendCalls:
-        """Return an instance with a connection pool of its own."""
-        return cls(ForwardingCurlClient(force_instance=True, max_clients=MAX_CONCURRENT_CALLS))
+    def create(cls, source_address: str = "") -> CurlBackendCalls:
+        """Return an instance with a connection pool of its own.
+
+        :param source_address: local address of all connections, chosen by the kernel if empty
+        """
+        client = ForwardingCurlClient(
+            force_instance=True, max_clients=MAX_CONCURRENT_CALLS, source_address=source_address
+        )
+        return cls(client, source_address)
 
     def close(self) -> None:
         """Close every connection."""
@@ -218,7 +225,11 @@
         """Open a connection without a request, and return whether it is refused."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(address.host, address.port)
+                _, writer = await asyncio.open_connection(
+                    address.host,
+                    address.port,
+                    local_addr=(self._source_address, 0) if self._source_address else None,
+                )
         except ConnectionRefusedError:
             return True
         except OSError:  # includes a timeout
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -134,9 +134,14 @@
         port: int,
         clock: Callable[[], float],
         random_source: random.Random,
+        source_address: str = "",
     ) -> PeerFollower:
-        """Return a follower with a separate HTTP client."""
-        return cls(view, peers, port, create_client(MAX_CONCURRENT_CALLS), clock, random_source)
+        """Return a follower with a separate HTTP client.
+
+        :param source_address: local address of all connections, chosen by the kernel if empty
+        """
+        client = create_client(MAX_CONCURRENT_CALLS, source_address)
+        return cls(view, peers, port, client, clock, random_source)
 
     def close(self) -> None:
         """Close every connection."""
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -91,7 +91,7 @@
         cold_limits = ColdLimits(settings.cold_rate_factor, settings.cold_rate_slack)
         own_address = RouterAddress(settings.address, settings.zone)
         self.pool = BackendPool(self.view, own_address, budget_limits, cold_limits, self._random)
-        self.calls = CurlBackendCalls.create()
+        self.calls = CurlBackendCalls.create(settings.address)
         self._staleness = StalenessDetector(self.view, steady_clock)
         self.peers = Peers(settings, steady_clock, time.time, self._random, self._staleness)
         suspects = CrashSuspects(self.peers.board, log, self._log_quarantine)
@@ -109,7 +109,12 @@
         role = ReaderRole(self.view, self.peers, start_wait_s, steady_clock)
         self._overload = OverloadDetector()
         self._peer_follower = PeerFollower.create(
-            self.view, self.peers, settings.control_port, steady_clock, self._random
+            self.view,
+            self.peers,
+            settings.control_port,
+            steady_clock,
+            self._random,
+            settings.address,
         )
         self._followers = {
             topic: Follower(source, topic, self.view, steady_clock, self._random, role.should_read)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -83,9 +83,14 @@
         added = {"name": "new", "host": "search.example", "prefix": "/new/", "kind": "idempotent"}
         await fleet.configure(routes=[added | {"service": "single", "timeout-ms": 1000}])
         await asyncio.sleep(2.5)
-        return [(await fleet.ask(number, "/new/x"))[1].status for number in (0, 1)]
-
-    assert with_fleet(work) == [200, 200]
+        losers = [
+            number
+            for number in (0, 1)
+            if any(line["event"] == "source lost" for line in fleet.lines(number))
+        ]
+        return losers, [(await fleet.ask(number, "/new/x"))[1].status for number in (0, 1)]
+
+    assert with_fleet(work) == ([1], [200, 200])
 
 
 def test_router_that_starts_while_the_store_is_unreachable_follows_a_peer(with_fleet):
--- a/tests/test_curl.py
+++ b/tests/test_curl.py
@@ -19,6 +19,28 @@
     return True
 
 
+def test_all_connections_come_from_the_source_address():
+    async def run():
+        server = ScriptedServer(_reply)
+        await server.start()
+        client = create_client(1, "127.0.0.7")
+        callers = []
+        server.reply = lambda head, writer: _record_caller(callers, head, writer)
+        request = HTTPRequest(f"http://127.0.0.1:{server.port}/")
+        for _ in range(REQUESTS):
+            await fetch_once(client, request, dedicated_connection=True)
+        client.close()
+        server.stop()
+        return callers
+
+    assert asyncio.run(run()) == ["127.0.0.7"] * REQUESTS
+
+
+async def _record_caller(callers, head, writer):
+    callers.append(writer.get_extra_info("peername")[0])
+    return await _reply(head, writer)
+
+
 def test_options_that_all_requests_share_hold_for_each_request_of_a_handle(monkeypatch):
     """A handle without its shared options would use the proxy of the environment."""
     monkeypatch.setenv("http_proxy", UNUSED_PROXY)
