Detect and log that a router is cut off from all backend servers

The logs could not tell a router that has lost its links from servers that are down: each server was judged by itself. Calls that end without a response at three servers of two services raise a suspicion, which connections to a sample of servers of different services settle: none accepted means that the router is cut off, half of them that it returns. One log line for each change, with what was tried and how many failed, and the gauge fighinge_cut_off.

One decision changes: a refused connection confirms a crash only if other servers can be reached. During a cut every lost call looked like a crash of its server, and requests in flight at several servers became suspect at all routers (test_cut_confirms_no_crash_of_requests_in_flight).

--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -264,6 +264,13 @@
         self.is_leaving = self.is_leaving or statement.is_leaving
         self._refused_until_s = max(self._refused_until_s, refused_until_s)
 
+    def forget_unreachable(self) -> None:
+        """Forget failures that were not due to the server."""
+        self._down_until_s = float("-inf")
+        self._down_backoff_s = MIN_DOWN_BACKOFF_S
+        self._consecutive_timeouts = 0
+        self._failure_rate = 0.0
+
     def _record_failure(
         self, failure: CallFailure, took_s: float, typical_s: float, now_s: float
     ) -> None:
--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -58,6 +58,9 @@
     async def refuses_connections(self, address: Address) -> bool:
         """Open a connection without a request, and return whether it is refused."""
 
+    async def accepts_connections(self, address: Address) -> bool:
+        """Open a connection without a request, and return whether it is accepted."""
+
 
 class ForwardedRequest(HTTPRequest):
     """A request that is sent unmodified, with the headers of its response."""
@@ -223,6 +226,14 @@
 
     async def refuses_connections(self, address: Address) -> bool:
         """Open a connection without a request, and return whether it is refused."""
+        return isinstance(await self._connect(address), ConnectionRefusedError)
+
+    async def accepts_connections(self, address: Address) -> bool:
+        """Open a connection without a request, and return whether it is accepted."""
+        return await self._connect(address) is None
+
+    async def _connect(self, address: Address) -> OSError | None:
+        """Open and close a connection, and return the error if that fails or takes too long."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(
@@ -230,12 +241,10 @@
                     address.port,
                     local_addr=(self._source_address, 0) if self._source_address else None,
                 )
-        except ConnectionRefusedError:
-            return True
-        except OSError:  # includes a timeout
-            return False
+        except OSError as error:  # includes a timeout
+            return error
         writer.close()
-        return False
+        return None
 
 
 def _idle_timeout_s(headers: Iterable[tuple[str, str]]) -> float:
--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -19,10 +19,16 @@
     from fighinge.router.crash_suspects import CrashSuspects
     from fighinge.router.exchange import CallerRequest, Codec, ServerStatement
     from fighinge.router.limited_calls import CallKind
+    from fighinge.router.reachability import Reachability
     from fighinge.router.typical_latency import TypicalLatencies
 
 CallResult = BackendResponse | CallFailure
 
+SILENT_CALL_S = 0.2  # a call that is given up later than this without an answer counts as failed
+UNREACHED_FAULTS = frozenset(
+    {CallFault.NOT_CONNECTED, CallFault.CONNECTION_LOST, CallFault.TIMEOUT}
+)
+
 
 class CallRunner:
     """Sends requests to chosen backend servers and records the results in their statistics."""
@@ -32,6 +38,7 @@
         "_clock",
         "_codec",
         "_crash_check",
+        "_reachability",
         "crash_suspects",
         "typical_latencies",
     )
@@ -43,8 +50,10 @@
         typical_latencies: TypicalLatencies,
         crash_suspects: CrashSuspects,
         crash_check: CrashCheck,
+        reachability: Reachability,
         clock: Callable[[], float],
     ) -> None:
+        self._reachability = reachability
         self._calls = calls
         self._crash_check = crash_check
         self._codec = codec
@@ -92,7 +101,10 @@
         def handle_end(ended: asyncio.Task[CallResult]) -> None:
             # Also called for a task that is cancelled before its first step.
             if ended.cancelled():
-                backend.cancel_call(call_number, self._clock())
+                now_s = self._clock()
+                backend.cancel_call(call_number, now_s)
+                if now_s - started_s >= SILENT_CALL_S:
+                    self._reachability.record_failure(backend, now_s)
 
         task.add_done_callback(handle_end)
         return task
@@ -128,6 +140,10 @@
                 result = decoded
         now_s = self._clock()
         backend.finish_call(call_number, result, now_s)
+        if not isinstance(raw, CallFailure) or isinstance(raw, InterruptedResponse):
+            self._reachability.record_response(backend)
+        elif raw.fault in UNREACHED_FAULTS:
+            self._reachability.record_failure(backend, now_s)
         if statement is not None and _tells_limit(statement, raw, result):
             backend.limit.record_statement(statement, now_s)
         self._record_crash_evidence(sent_call, backend, result, now_s)
@@ -140,8 +156,10 @@
     ) -> None:
         if isinstance(result, BackendResponse) and not result.is_other_instance:
             self.crash_suspects.record_response(call, now_s, was_run=not result.was_not_run)
-        elif isinstance(result, BackendResponse) or result.fault is CallFault.NOT_CONNECTED:
+        elif isinstance(result, BackendResponse):
             self.crash_suspects.record_end(call.server, now_s)
+        elif result.fault is CallFault.NOT_CONNECTED:
+            self._crash_check.start_confirming(backend)
         elif (
             result.fault is CallFault.CONNECTION_LOST
             and self.crash_suspects.record_lost_connection(call, now_s)
--- a/fighinge/router/crash_check.py
+++ b/fighinge/router/crash_check.py
@@ -11,6 +11,7 @@
     from fighinge.router.backend import Backend
     from fighinge.router.backend_calls import BackendCalls
     from fighinge.router.crash_suspects import CrashSuspects
+    from fighinge.router.reachability import Reachability
 
 # The first connection may reach a process that ends; the last one is made before it starts again.
 CHECK_DELAYS_S = (0.0, 0.05, 0.2)
@@ -19,19 +20,25 @@
 class CrashCheck:
     """Opens connections to servers under suspicion instead of waiting for further calls to them.
 
-    A refused connection shows that the server has ended. One that is accepted shows nothing, as
-    the process may have started again.
+    A refused connection shows that the server has ended, unless this router is cut off from all
+    servers. One that is accepted shows nothing, as the process may have started again.
     """
 
-    __slots__ = ("_calls", "_clock", "_running", "_suspects")
+    __slots__ = ("_calls", "_clock", "_confirming", "_reachability", "_running", "_suspects")
 
     def __init__(
-        self, calls: BackendCalls, suspects: CrashSuspects, clock: Callable[[], float]
+        self,
+        calls: BackendCalls,
+        suspects: CrashSuspects,
+        reachability: Reachability,
+        clock: Callable[[], float],
     ) -> None:
         self._calls = calls
+        self._reachability = reachability
         self._suspects = suspects
         self._clock = clock
         self._running: dict[str, asyncio.Task] = {}
+        self._confirming: dict[str, asyncio.Task] = {}
 
     def start(self, backend: Backend) -> None:
         """Check a server in the background, unless a check of this run of it is in progress."""
@@ -39,11 +46,24 @@
         if server not in self._running:
             self._running[server] = asyncio.create_task(self._run(backend, server))
 
+    def start_confirming(self, backend: Backend) -> None:
+        """Record the end of a server that has just refused a connection, unless links are cut."""
+        server = backend.record.run_name
+        if self._suspects.has_unconfirmed_losses(server) and server not in self._confirming:
+            self._confirming[server] = asyncio.create_task(self._confirm(backend, server))
+
     def close(self) -> None:
         """Cancel the checks in progress."""
-        for task in self._running.values():
+        for task in (*self._running.values(), *self._confirming.values()):
             task.cancel()
 
+    async def _confirm(self, backend: Backend, server: str) -> None:
+        try:
+            if not await self._reachability.causes_refusal():
+                self._record_end(backend, server)
+        finally:
+            del self._confirming[server]
+
     async def _run(self, backend: Backend, server: str) -> None:
         try:
             for delay_s in CHECK_DELAYS_S:
@@ -51,9 +71,14 @@
                 if not self._suspects.has_unconfirmed_losses(server):
                     return
                 if await self._calls.refuses_connections(backend.record.address):
-                    now_s = self._clock()
-                    backend.record_refused_connection(now_s)
-                    self._suspects.record_end(server, now_s)
+                    if await self._reachability.causes_refusal():
+                        return
+                    self._record_end(backend, server)
                     return
         finally:
             del self._running[server]
+
+    def _record_end(self, backend: Backend, server: str) -> None:
+        now_s = self._clock()
+        backend.record_refused_connection(now_s)
+        self._suspects.record_end(server, now_s)
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -25,6 +25,7 @@
 LIMITED_CALLS = Counter(
     "fighinge_limited_calls", "Calls to backend servers that name a limit of their rate", ("kind",)
 )
+CUT_OFF = Gauge("fighinge_cut_off", "Whether this router reaches no backend server")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 MAX_ROUTE_LABELS = 64  # bounds the label cardinality; there may be hundreds of routes
 
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -108,6 +108,15 @@
             service = self._services[name] = Service(name, self._budget_limits)
         return service
 
+    def services(self) -> Collection[Service]:
+        """Return the services that are known or were asked for."""
+        return self._services.values()
+
+    def forget_unreachable(self) -> None:
+        """Forget which servers this router could not reach, as that was due to its own links."""
+        for backend in self._backends.values():
+            backend.forget_unreachable()
+
     def refresh(self, now_s: float) -> None:
         """Rebuild the lists of backend servers from the view."""
         current: dict[tuple[str, int], Backend] = {}
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -25,6 +25,7 @@
 from fighinge.router.peer_follower import PeerFollower, ReaderRole
 from fighinge.router.peers import Peers
 from fighinge.router.pool import BackendPool
+from fighinge.router.reachability import Reachability
 from fighinge.router.relay import Relay, relay_routes
 from fighinge.router.retry_budget import RetryBudgetLimits
 from fighinge.router.service import RouterService
@@ -95,9 +96,16 @@
         self._staleness = StalenessDetector(self.view, steady_clock)
         self.peers = Peers(settings, steady_clock, time.time, self._random, self._staleness)
         suspects = CrashSuspects(self.peers.board, log, self._log_quarantine)
-        self._crash_check = CrashCheck(self.calls, suspects, steady_clock)
+        self._reachability = Reachability(self.pool, self.calls, log, steady_clock, self._random)
+        self._crash_check = CrashCheck(self.calls, suspects, self._reachability, steady_clock)
         call_runner = CallRunner(
-            self.calls, codec, TypicalLatencies(), suspects, self._crash_check, steady_clock
+            self.calls,
+            codec,
+            TypicalLatencies(),
+            suspects,
+            self._crash_check,
+            self._reachability,
+            steady_clock,
         )
         self.service = RouterService(self.view, self.pool, call_runner, codec, log, steady_clock)
         self.caller_server = CallerServer(self.service, codec, steady_clock)
@@ -143,6 +151,7 @@
         self.spawn(self.peers.membership.run())
         self.spawn(self.pauses.run(self._observe_lag))
         self.spawn(self._run_housekeeping())
+        self.spawn(self._reachability.run())
         control = Application(relay_routes(self.relay), log_function=_discard_access_log)
         control.listen(self.settings.control_port, self.settings.address)
         self.caller_server.listen(self.settings.caller_port, self.settings.address)
--- /dev/null
+++ b/fighinge/router/reachability.py
@@ -0,0 +1,202 @@
+"""Finds out whether this router is cut off from all backend servers.
+
+Calls that fail at several servers of several services raise the suspicion. It is settled by
+opening connections to a sample of servers: failing calls alone do not tell a cut from servers that
+are down, and connections that were opened before may live on during a cut.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import TYPE_CHECKING
+
+from fighinge.router.metrics import CUT_OFF
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from fighinge.aggregator.base import Address
+    from fighinge.router.backend import Backend
+    from fighinge.router.backend_calls import BackendCalls
+    from fighinge.router.decision_log import DecisionLog
+    from fighinge.router.pool import BackendPool
+
+FAILURE_TTL_S = 2.0  # failures of a cut come within a connect timeout of each other
+MIN_FAILED_SERVERS = 3
+MIN_FAILED_SERVICES = 2  # unless there is one service: a service may be down for all routers
+SAMPLE_SERVERS = 6
+MIN_SAMPLE_SERVERS = 3  # fewer prove nothing
+RECOVERED_RATIO = 0.5  # of the sample; a router that reaches a part serves by that
+CHECK_INTERVAL_S = 0.5
+RETURN_DELAY_S = 1.0  # peers lower their shares of limits before this router uses its own again
+
+
+class LinkState(enum.Enum):
+    """Whether this router reaches backend servers."""
+
+    REACHING = "reaching"
+    CUT_OFF = "cut off"
+    RETURNING = "returning"
+
+
+class Reachability:
+    """The state of this router's links to all backend servers.
+
+    While it is cut off or returning, requests should be handed to other routers.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_check",
+        "_clock",
+        "_cut_off",
+        "_failed_s",
+        "_listeners",
+        "_log",
+        "_pool",
+        "_random",
+        "_returned_s",
+        "_since_s",
+        "_state",
+        "_wake_up",
+    )
+
+    def __init__(
+        self,
+        pool: BackendPool,
+        calls: BackendCalls,
+        log: DecisionLog,
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ) -> None:
+        self._pool = pool
+        self._calls = calls
+        self._log = log
+        self._clock = clock
+        self._random = random_source
+        self._state = LinkState.REACHING
+        self._since_s = clock()
+        self._failed_s: dict[tuple[str, str], float] = {}
+        self._check: asyncio.Task | None = None
+        self._wake_up = asyncio.Event()
+        self._cut_off = asyncio.Event()
+        self._listeners: list[Callable[[bool], object]] = []
+
+    def listen(self, listener: Callable[[bool], object]) -> None:
+        """Call a listener whenever this router is cut off or reaches servers again."""
+        self._listeners.append(listener)
+
+    async def causes_refusal(self) -> bool:
+        """Return whether a server is out of reach because of this router's links.
+
+        Other servers are asked unless they were a moment ago.
+        """
+        if not self.is_cut_off:
+            if self._check is None:
+                self._check = asyncio.create_task(self._check_links())
+            await asyncio.shield(self._check)
+        return self.is_cut_off
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether requests should be handed to other routers."""
+        return self._state is not LinkState.REACHING
+
+    async def wait_until_cut_off(self) -> None:
+        """Return as soon as this router is cut off."""
+        await self._cut_off.wait()
+
+    def record_failure(self, backend: Backend, now_s: float) -> None:
+        """Record that a call to a server ended without any response."""
+        self._failed_s[(backend.record.service, backend.record.run_name)] = now_s
+        if self._state is LinkState.REACHING and self._has_many_failures(now_s):
+            self._wake_up.set()
+
+    def record_response(self, backend: Backend) -> None:
+        """Record that a server responded."""
+        self._failed_s.pop((backend.record.service, backend.record.run_name), None)
+
+    async def run(self) -> None:
+        """Check the links while there is a suspicion or a cut, until cancelled."""
+        while True:
+            if self._state is LinkState.REACHING:
+                await self._wake_up.wait()
+            self._wake_up.clear()
+            if self._check is None:
+                self._check = asyncio.create_task(self._check_links())
+            await asyncio.shield(self._check)
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async def _check_links(self) -> None:
+        try:
+            await self.check()
+        finally:
+            self._check = None
+
+    async def check(self) -> None:
+        """Open connections to a sample of servers and update the state."""
+        addresses = self._sample()
+        if len(addresses) < MIN_SAMPLE_SERVERS:
+            return
+        accepted = sum(
+            await asyncio.gather(*(self._calls.accepts_connections(item) for item in addresses))
+        )
+        now_s = self._clock()
+        if self._state is LinkState.REACHING:
+            if accepted == 0:
+                self._set_state(LinkState.CUT_OFF, accepted, len(addresses), now_s)
+            else:
+                self._failed_s.clear()
+        elif accepted < RECOVERED_RATIO * len(addresses):
+            self._set_state(LinkState.CUT_OFF, accepted, len(addresses), now_s)
+        elif self._state is LinkState.CUT_OFF:
+            self._set_state(LinkState.RETURNING, accepted, len(addresses), now_s)
+        elif now_s - self._since_s >= RETURN_DELAY_S:
+            self._set_state(LinkState.REACHING, accepted, len(addresses), now_s)
+
+    def _sample(self) -> list[Address]:
+        """Return the addresses of random servers, of different services as far as there are."""
+        services = [service for service in self._pool.services() if service.backends]
+        self._random.shuffle(services)
+        chosen = [self._random.choice(service.backends) for service in services[:SAMPLE_SERVERS]]
+        others = [
+            backend for service in services for backend in service.backends if backend not in chosen
+        ]
+        missing = SAMPLE_SERVERS - len(chosen)
+        chosen += self._random.sample(others, min(missing, len(others)))
+        return [backend.record.address for backend in chosen]
+
+    def _has_many_failures(self, now_s: float) -> bool:
+        recent = [key for key, at_s in self._failed_s.items() if now_s - at_s < FAILURE_TTL_S]
+        if len(recent) < len(self._failed_s):
+            self._failed_s = {key: self._failed_s[key] for key in recent}
+        services = {service for service, _ in recent}
+        has_several_services = sum(bool(item.backends) for item in self._pool.services()) > 1
+        min_services = MIN_FAILED_SERVICES if has_several_services else 1
+        return len(recent) >= MIN_FAILED_SERVERS and len(services) >= min_services
+
+    def _set_state(self, state: LinkState, accepted: int, tried: int, now_s: float) -> None:
+        if state is self._state:
+            return
+        self._log.write(
+            "links to backend servers",
+            state=state.value,
+            previous=self._state.value,
+            for_s=round(now_s - self._since_s, 2),
+            accepted=accepted,
+            tried=tried,
+            failed_servers=len(self._failed_s),
+            failed_services=len({service for service, _ in self._failed_s}),
+        )
+        self._state, self._since_s = state, now_s
+        CUT_OFF.set(state is not LinkState.REACHING)
+        if state is LinkState.CUT_OFF:
+            self._cut_off.set()
+        elif state is LinkState.RETURNING:
+            self._cut_off.clear()
+            self._failed_s.clear()
+            self._pool.forget_unreachable()
+        for listener in self._listeners:
+            listener(state is LinkState.CUT_OFF)
--- /dev/null
+++ b/tests/router/test_reachability.py
@@ -0,0 +1,133 @@
+"""Tests that a router tells a cut of its own links from servers that are down, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fighinge.router.reachability import CHECK_INTERVAL_S, MIN_FAILED_SERVERS, RETURN_DELAY_S
+from tests.router.builders import (
+    LOST,
+    REFUSED,
+    RouterFixture,
+    gather_route,
+    shard_backend_records,
+    table,
+)
+from tests.virtual_time import run
+
+
+class LinkFixture(RouterFixture):
+    """A router whose links are checked in the background."""
+
+    def __init__(self, shards: int = 4) -> None:
+        super().__init__()
+        self.publish(table(gather_route(shards), services=shards), *shard_backend_records(shards))
+        self.task = asyncio.create_task(self.reachability.run())
+
+    def backends(self):
+        """Return all backend servers."""
+        return [backend for service in self.pool.services() for backend in service.backends]
+
+    def fail(self, *backends) -> None:
+        """Record a failed call to each of some servers."""
+        for backend in backends:
+            self.reachability.record_failure(backend, self.clock())
+
+    def states(self):
+        """Return the logged states of the links."""
+        return [
+            line["state"] for line in self.log.lines if line["event"] == "links to backend servers"
+        ]
+
+
+def test_router_that_no_server_accepts_connections_of_is_cut_off():
+    async def work():
+        router = LinkFixture()
+        router.calls.is_cut_off = True
+        router.fail(*router.backends()[:: len(router.backends()) // MIN_FAILED_SERVERS])
+        await asyncio.sleep(0.1)
+        return router.reachability.is_cut_off
+
+    assert run(work())
+
+
+@pytest.mark.parametrize("result", [LOST, REFUSED])
+def test_failing_requests_reveal_the_cut(result):
+    async def work():
+        router = LinkFixture()
+        router.calls.is_cut_off = True
+        for backend in router.backends():
+            router.calls.script(backend.record.instance_id, (0.01, result))
+        await router.send("/all/a")
+        await asyncio.sleep(0.1)
+        return router.states()
+
+    assert run(work()) == ["cut off"]
+
+
+def test_servers_that_are_down_do_not_count_as_a_cut():
+    async def work():
+        router = LinkFixture()
+        router.fail(*router.backends()[:8])
+        await asyncio.sleep(1.0)
+        return router.reachability.is_cut_off, router.states()
+
+    assert run(work()) == (False, [])
+
+
+def test_servers_of_one_service_that_are_down_are_not_even_checked():
+    async def work():
+        router = LinkFixture()
+        router.calls.is_cut_off = True
+        router.fail(*[item for item in router.backends() if item.record.service == "s0"])
+        await asyncio.sleep(1.0)
+        return router.reachability.is_cut_off
+
+    assert not run(work())
+
+
+def test_return_takes_two_checks_and_forgets_the_failures():
+    async def work():
+        router = LinkFixture()
+        router.calls.is_cut_off = True
+        for backend in router.backends():
+            backend.record_refused_connection(router.clock())
+        router.fail(*router.backends())
+        await asyncio.sleep(5.0)
+        router.calls.is_cut_off = False
+        await asyncio.sleep(CHECK_INTERVAL_S + 0.1)
+        usable = sum(item.is_usable(router.clock()) for item in router.backends())
+        between = router.reachability.is_cut_off
+        await asyncio.sleep(RETURN_DELAY_S + CHECK_INTERVAL_S)
+        return usable, between, router.reachability.is_cut_off, router.states()
+
+    assert run(work()) == (12, True, False, ["cut off", "returning", "reaching"])
+
+
+def test_cut_confirms_no_crash_of_requests_in_flight():
+    async def work():
+        router = LinkFixture()
+        router.calls.is_cut_off = True
+        router.calls.refusing |= {item.record.address for item in router.backends()}
+        for backend in router.backends():
+            router.calls.script(backend.record.instance_id, (0.01, LOST), (0.01, REFUSED))
+        await asyncio.gather(*(router.send("/all/popular") for _ in range(5)))
+        await asyncio.sleep(1.0)
+        return [line["evidence"] for line in router.log.lines if line["event"] == "crash evidence"]
+
+    assert "confirmed, the server has ended" not in run(work())
+
+
+def test_crash_of_servers_is_confirmed_while_others_accept_connections():
+    async def work():
+        router = LinkFixture()
+        router.calls.refusing |= {item.record.address for item in router.backends()}
+        for backend in router.backends():
+            router.calls.script(backend.record.instance_id, (0.01, LOST), (0.01, REFUSED))
+        await router.send("/all/crash")
+        await asyncio.sleep(1.0)
+        return [line["evidence"] for line in router.log.lines if line["event"] == "crash evidence"]
+
+    assert "confirmed, the server has ended" in run(work())
