--- a/standins/faulty_proxy.py
+++ b/standins/faulty_proxy.py
@@ -34,12 +34,16 @@
 
     def stop(self) -> None:
         """Stop listening and reset all open connections."""
-        self._server.close()
+        self.stop_listening()
         self.reset_connections()
 
+    def stop_listening(self) -> None:
+        """Refuse new connections."""
+        self._server.close()
+
     def reset_connections(self) -> None:
         """Reset all open connections."""
-        for writer in self._open_writers:
+        for writer in list(self._open_writers):
             _reset(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 
 import msgspec
 from tornado.httpserver import HTTPServer
@@ -17,13 +18,15 @@
     """Hold items and their event history in memory, and serve them over HTTP.
 
     ``fault`` is empty, ``busy`` (503), ``silent`` (no response) or ``reset`` (closed connection).
-    It affects the addresses in ``affected_callers``, or all callers if that is empty.
+    It affects the addresses in ``affected_callers``, or all callers if that is empty. ``rewrite``
+    replaces each item or event that a caller gets.
     """
 
     def __init__(self) -> None:
         self.revision = 100
         self.fault = ""
         self.affected_callers: set[str] = set()
+        self.rewrite: Callable[[str, dict], dict] = lambda _caller, item: item
         self.calls: list[str] = []
         self._items: dict[str, tuple[int, bytes]] = {}
         self._events: list[dict] = []
@@ -141,6 +144,10 @@
 
     def send_json(self, content: dict) -> None:
         """Finish the response with JSON, unless the caller has closed the connection."""
+        for name in ("items", "events"):
+            if name in content:
+                caller = self.request.remote_ip
+                content[name] = [self.store.rewrite(caller, item) for item in content[name]]
         self.set_header("Content-Type", "application/json")
         try:
             self.finish(msgspec.json.encode(content))
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -237,11 +237,16 @@
     }
 
 
-def run_on_fleet(directory: Path, work: Callable[[RouterFleet], Awaitable], **changes):
+def run_on_fleet(
+    directory: Path,
+    work: Callable[[RouterFleet], Awaitable],
+    fleet_class: type[RouterFleet] = RouterFleet,
+    **changes,
+):
     """Run a coroutine function on a new fleet and return its result."""
 
     async def run():
-        fleet = RouterFleet(directory, next(_networks), **changes)
+        fleet = fleet_class(directory, next(_networks), **changes)
         try:
             await fleet.start()
             return await work(fleet)
