Divide the rates that servers name among the routers that reach servers

While routers are cut off, their shares of the rates that servers name are of no use to them, and the routers that serve their callers refused requests that the servers would have taken. The shares are now divided among the routers that are not cut off. Connections and the retry budget stay divided among all: what a router has opened or spent does not return at the moment at which the others do.

--- a/fighinge/router/named_limit.py
+++ b/fighinge/router/named_limit.py
@@ -71,7 +71,7 @@
                 backend=self._instance_id,
                 service=self._service,
                 max_requests_per_s=self.max_requests_per_s,
-                limit_share=round(self._router_share.fraction, 4),
+                limit_share=round(self._router_share.rate_fraction, 4),
                 routers=len(self._router_share.routers),
                 **report,
             )
@@ -99,7 +99,7 @@
             max_requests_per_s=self.max_requests_per_s,
             previous=previous,
             unreadable=statement.unreadable_limit,
-            limit_share=round(self._router_share.fraction, 4),
+            limit_share=round(self._router_share.rate_fraction, 4),
         )
 
     def _apply(self, max_requests_per_s: float | None, now_s: float) -> None:
--- a/fighinge/router/peers.py
+++ b/fighinge/router/peers.py
@@ -69,20 +69,27 @@
         """Return the addresses of all routers, including recently failed ones."""
         return frozenset(member.host for member in self.membership.table.members())
 
-    def limit_share(self) -> float:
+    def limit_share(self, *, of_reaching: bool = False) -> float:
         """Return this router's share of the limits that apply to all routers together.
 
+        :param of_reaching: leave out the other routers that are cut off from the backend servers
+
         High-capacity routers, to which callers are sent, get most of it. Recently failed routers
         count too, as they may only be partitioned and still use their share. Until membership is
         complete, at least the seeds are counted.
         """
-        known = [_address(member) for member in self.membership.table.members()]
-        missing = max(0, len(self._seeds) + 1 - len(known))
+        local = self.membership.table.local_member
+        known = [
+            _address(member)
+            for member in self.membership.table.members()
+            if not (of_reaching and member.is_cut_off and member is not local)
+        ]
+        missing = max(0, len(self._seeds) + 1 - len(self.membership.table.members()))
         high_capacity = high_capacity_routers(known)
         low_capacity = len(known) - len(high_capacity)
         if not low_capacity:
             return 1.0 / (len(known) + missing)
-        if any(router.host == self.membership.table.local_member.host for router in high_capacity):
+        if any(router.host == local.host for router in high_capacity):
             return HIGH_CAPACITY_LIMIT_SHARE / (len(high_capacity) + missing)
         return (1.0 - HIGH_CAPACITY_LIMIT_SHARE) / low_capacity
 
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -84,13 +84,21 @@
         """Return this router's share of the limits of all routers together."""
         return self._share.fraction
 
-    def set_limit_share(self, limit_share: float, routers: frozenset[str], now_s: float) -> None:
+    def set_limit_share(
+        self,
+        limit_share: float,
+        routers: frozenset[str],
+        now_s: float,
+        rate_fraction: float | None = None,
+    ) -> None:
         """Set this router's share of the limits of all routers together.
 
         :param limit_share: a number between 0 and 1
         :param routers: addresses of all routers, including those lost recently
         :param now_s: time on the monotonic clock, in seconds
+        :param rate_fraction: share of the rates that servers name, if it differs
         """
+        self._share.rate_fraction = limit_share if rate_fraction is None else rate_fraction
         if (limit_share, routers) != (self._share.fraction, self._share.routers):
             self._share.fraction, self._share.routers = limit_share, routers
             self.refresh(now_s)
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -235,7 +235,12 @@
             now_s = steady_clock()
             self.view.expire(now_s)
             self._restart_stale(now_s)
-            self.pool.set_limit_share(self.peers.limit_share(), self.peers.known_hosts(), now_s)
+            self.pool.set_limit_share(
+                self.peers.limit_share(),
+                self.peers.known_hosts(),
+                now_s,
+                self.peers.limit_share(of_reaching=True),
+            )
             ROUTERS.set(len(self.peers.accepting_routers()))
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/fighinge/router/rate_share.py
+++ b/fighinge/router/rate_share.py
@@ -20,13 +20,19 @@
 
 
 class RouterShare:
-    """This router's fraction of the limits of all routers, and its place among them."""
+    """This router's fraction of the limits of all routers, and its place among them.
 
-    __slots__ = ("_own_address", "fraction", "routers")
+    ``rate_fraction`` applies to rates that servers name. Routers that are cut off from the servers
+    need no part of them; connections and the retry budget stay divided among all, since what a
+    router has opened or spent does not return at once.
+    """
+
+    __slots__ = ("_own_address", "fraction", "rate_fraction", "routers")
 
     def __init__(self, own_address: str) -> None:
         self._own_address = own_address
         self.fraction = 1.0
+        self.rate_fraction = 1.0
         self.routers = frozenset({own_address})
 
     def phase(self, key: str) -> float:
@@ -86,7 +92,7 @@
 
     @property
     def _per_s(self) -> float:
-        return max(MIN_TOTAL_PER_S, self._total_per_s) * self._share.fraction
+        return max(MIN_TOTAL_PER_S, self._total_per_s) * self._share.rate_fraction
 
     def _next_unpromised(self) -> int:
         return max(self._used, self._promised, math.floor(self._accrued)) + 1
--- a/tests/router/test_addresses.py
+++ b/tests/router/test_addresses.py
@@ -38,3 +38,10 @@
 
 def test_number_of_addresses_is_limited():
     assert len(choose_routers(_routers(*["z1"] * 100), "z1", REGIONS)) == 64
+
+
+def test_router_that_is_cut_off_is_left_out_unless_all_are():
+    routers = [RouterAddress(f"h{number}", "z1", is_cut_off=number < 2) for number in range(5)]
+    chosen = choose_routers(routers, "z1", {"z1": "r"})
+    assert {router.host for router in chosen} == {"h2", "h3", "h4"}
+    assert len(choose_routers(routers[:2], "z1", {"z1": "r"})) == 2
--- a/tests/router/test_rate_share.py
+++ b/tests/router/test_rate_share.py
@@ -31,7 +31,7 @@
         """Let some routers know these routers, each with the same share."""
         for name in names:
             self.shares[name].routers = frozenset(known)
-            self.shares[name].fraction = 1.0 / len(known)
+            self.shares[name].rate_fraction = 1.0 / len(known)
 
     def name_limit(self, name: str, now_s: float) -> None:
         """Let a router hear of the limit."""
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -6,6 +6,8 @@
 import random
 from collections import Counter
 
+import pytest
+
 from fighinge.configuration.readers import READERS_PER_ZONE, is_reader
 from fighinge.membership.member import Member, MemberState, Role
 from fighinge.membership.table import MemberTable
@@ -219,3 +221,27 @@
     for topic in Topic:
         view.record_relay_answer(topic, "10.0.0.1", clock_s[0])
     assert not role.should_read()
+
+
+def test_share_of_rates_leaves_out_other_routers_that_are_cut_off():
+    members = [
+        Member(Role.ENTRY, f"10.0.0.{number}", "z1", 1, is_cut_off=number >= 3)
+        for number in range(8)
+    ]
+    assert _peers(members, 0).limit_share(of_reaching=True) == pytest.approx(1 / 3)
+    assert _peers(members, 0).limit_share() == pytest.approx(1 / 8)
+    peers = _peers(members, 0)
+    peers.set_cut_off(True)
+    assert peers.limit_share(of_reaching=True) == pytest.approx(1 / 4)
+
+
+def test_requests_are_forwarded_to_peers_that_reach_servers_and_stay():
+    members = [
+        Member(Role.ENTRY, "10.0.0.0", "z1", 1),
+        Member(Role.ENTRY, "10.0.0.1", "z1", 1, is_cut_off=True),
+        Member(Role.ENTRY, "10.0.0.2", "z1", 1, leaving=True),
+        Member(Role.ENTRY, "10.0.0.3", "z2", 1, overloaded=True),
+        Member(Role.ENTRY, "10.0.0.4", "z2", 1),
+        Member(Role.ENTRY, "10.0.0.5", "z2", 1, MemberState.SUSPECT),
+    ]
+    assert _peers(members, 0).forwarding_targets() == ["10.0.0.4"]
