Cut routers off from all servers in the soak

The soak could not cut the links of one router: its proxies stand before servers, and all routers used the same addresses. Each router now has links of its own to the proxies, and a new fault cuts them (connections hang, are reset, or only new ones are refused). A link refuses connections while its server is down, so that ends of servers look as before.

--- a/standins/cuttable_link.py
+++ b/standins/cuttable_link.py
@@ -23,21 +23,36 @@
 
 
 class CuttableLink:
-    """A proxy to a server at an address of its own, whose listener goes during a cut."""
+    """A proxy to a server at an address of its own, which listens while server and link are up."""
 
     def __init__(self, target_host: str, target_port: int, host: str, port: int) -> None:
         self._proxy = FaultyProxy(target_host, target_port)
         self._host, self._port = host, port
-        self._blocker: socket.socket | None = None
-        self._fillers: list[socket.socket] = []
+        self._is_up = False
+        self._how: Cut | None = None
+        self._blockers: list[socket.socket] = []
 
     async def start(self) -> None:
-        """Listen."""
-        await self._proxy.start(self._host, self._port)
+        """Listen, unless the link is cut; the server has started."""
+        if not self._is_up:
+            self._is_up = True
+            if self._how is None:
+                await self._proxy.start(self._host, self._port)
+
+    def stop(self) -> None:
+        """Refuse new connections and reset the open ones; the server has ended."""
+        if self._is_up and self._how is None:
+            self._proxy.stop_listening()
+        self._is_up = False
+        self._proxy.reset_connections()
 
     async def cut(self, how: Cut) -> None:
-        """Cut the link."""
-        self._proxy.stop_listening()
+        """Cut the link, unless it is cut already."""
+        if self._how is not None:
+            return
+        self._how = how
+        if self._is_up:
+            self._proxy.stop_listening()
         if how is Cut.RESET:
             self._proxy.reset_connections()
         if how is Cut.HANG:
@@ -46,31 +61,32 @@
 
     async def heal(self) -> None:
         """End the cut; connections that were silent are reset."""
-        for item in (*self._fillers, *([self._blocker] if self._blocker else [])):
-            item.close()
-        if self._blocker is not None:
+        if self._how is Cut.HANG:
             self._proxy.reset_connections()
-        self._blocker, self._fillers = None, []
+        self._how = None
+        self.unblock()
         self._proxy.mode = ""
-        await self._proxy.start(self._host, self._port)
+        if self._is_up:
+            await self._proxy.start(self._host, self._port)
 
-    def stop(self) -> None:
-        """Stop listening and reset all connections."""
-        for item in (*self._fillers, *([self._blocker] if self._blocker else [])):
+    def unblock(self) -> None:
+        """Close the sockets that keep connections from being established."""
+        for item in self._blockers:
             item.close()
-        self._proxy.stop()
+        self._blockers = []
 
     def _block(self) -> None:
         """Listen with a full queue of connections, so that the kernel drops further ones."""
-        self._blocker = socket.socket()
-        self._blocker.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._blocker.bind((self._host, self._port))
-        self._blocker.listen(0)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self._host, self._port))
+        listener.listen(0)
+        self._blockers.append(listener)
         for _ in range(2):
             filler = socket.socket()
             filler.setblocking(False)
             filler.connect_ex((self._host, self._port))
-            self._fillers.append(filler)
+            self._blockers.append(filler)
 
 
 async def cut_all(links: list[CuttableLink], how: Cut) -> None:
--- a/tests/platform/partition_fleet.py
+++ b/tests/platform/partition_fleet.py
@@ -29,14 +29,23 @@
     async def list_server(self, server: ShardServer) -> None:
         """Open a link of each router to a server, and write its record to the store."""
         at = self.servers.index(server)
-        for number, links in self._links.items():
-            if at == len(links):
-                link = CuttableLink(server.host, server.port, self._host(number), LINK_PORT + at)
-                links.append(link)
-                await link.start()
+        await self.open_links(at, server.host, server.port)
         value = server.store_value() | {"address": f"{server.host}:{LINK_PORT + at}"}
         await self.store.put(f"servers/{server.instance_id}", value)
 
+    async def open_links(self, at: int, target_host: str, target_port: int) -> None:
+        """Open the links of all routers to a server, given by its place in the list of servers."""
+        for number, links in self._links.items():
+            if at == len(links):
+                host = self._host(number)
+                links.append(CuttableLink(target_host, target_port, host, LINK_PORT + at))
+            await links[at].start()
+
+    def close_links(self, at: int) -> None:
+        """Close the links of all routers to a server that has ended."""
+        for links in self._links.values():
+            links[at].stop()
+
     async def cut(self, number: int, how: Cut) -> None:
         """Cut a router off from all backend servers."""
         await cut_all(self._links[number], how)
@@ -49,6 +58,7 @@
         """Stop the fleet and the links."""
         for links in self._links.values():
             for link in links:
+                link.unblock()
                 link.stop()
         await super().stop()
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -18,6 +18,7 @@
 import defopt
 import msgspec
 
+from standins.cuttable_link import Cut
 from standins.faulty_proxy import MODES
 from tests.platform.fleet import (
     FRONT_PORT,
@@ -71,12 +72,14 @@
         *,
         has_server_faults: bool = True,
         has_limits: bool = True,
+        has_partitions: bool = True,
     ) -> None:
         self._fleet = fleet
         self._random = random.Random(seed)
         self._seed = seed
         self._has_server_faults = has_server_faults
         self._has_limits = has_limits
+        self._has_partitions = has_partitions
         self._exchanges: list[RecordedExchange] = []
         self._injected_faults: list[str] = []
         self._disturbances: list[Disturbance] = []
@@ -173,6 +176,8 @@
             )
         if self._has_limits:
             faults += (self._name_limit, self._name_limit, self._name_limit)
+        if self._has_partitions:
+            faults += (self._partition, self._partition)
         fault = self._random.choice(faults)
         length_s = self._random.uniform(0.3, 2.0)
         number = self._random.randrange(len(self._fleet.processes))
@@ -306,6 +311,15 @@
             await asyncio.sleep(2 * length_s)
         server.max_requests_per_s = None
 
+    async def _partition(self, number: int, length_s: float) -> None:
+        """Cut a router off from all servers, sometimes beside another one."""
+        how = self._random.choice(list(Cut))
+        started_s = self._clock()
+        await self._fleet.cut(number, how)
+        await asyncio.sleep(2 * length_s)
+        await self._fleet.heal(number)
+        self._disturb(f"router {number}", started_s)
+
     async def _crash_servers(self, _number: int, length_s: float) -> None:
         """Repeat a request that ends each server that runs it."""
         route = self._random.choice(("one", "one", "all", "once"))
@@ -363,6 +377,7 @@
     *,
     has_server_faults: bool = True,
     has_limits: bool = True,
+    has_partitions: bool = True,
 ) -> Outcome:
     """Run one seed on a new fleet.
 
@@ -370,12 +385,18 @@
 
     :param has_server_faults: whether servers also end under requests, leave and want pauses
     :param has_limits: whether servers also name limits
+    :param has_partitions: whether routers are also cut off from all servers
     """
-    fleet = SoakFleet(directory, FIRST_NETWORK + seed % NETWORK_COUNT, routers)
+    network = FIRST_NETWORK + seed % NETWORK_COUNT
+    fleet = SoakFleet(directory, network, routers, has_links=has_partitions)
     try:
         await fleet.start()
         return await Round(
-            fleet, seed, has_server_faults=has_server_faults, has_limits=has_limits
+            fleet,
+            seed,
+            has_server_faults=has_server_faults,
+            has_limits=has_limits,
+            has_partitions=has_partitions,
         ).run()
     finally:
         await fleet.stop()
--- a/tests/platform/soak_fleet.py
+++ b/tests/platform/soak_fleet.py
@@ -6,23 +6,31 @@
 from typing import TYPE_CHECKING
 
 from standins.faulty_proxy import FaultyProxy
-from tests.platform.fleet import RouterFleet
+from tests.platform.partition_fleet import LINK_PORT, PartitionFleet
 
 if TYPE_CHECKING:
     from pathlib import Path
 
     from standins.shard_server import ShardServer
 
-PROXY_PORT = 9400
+PROXY_PORT = LINK_PORT  # the links of a server have its proxy's port, at other addresses
 
 
-class SoakFleet(RouterFleet):
-    """A fleet with a fault-injecting proxy in front of each backend server."""
+class SoakFleet(PartitionFleet):
+    """A fleet with a fault-injecting proxy in front of each backend server.
 
-    def __init__(self, directory: Path, network: int, routers: int) -> None:
+    :param has_links: whether each router has links of its own to the proxies
+    """
+
+    def __init__(
+        self, directory: Path, network: int, routers: int, *, has_links: bool = True
+    ) -> None:
         super().__init__(directory, network, routers)
         self.proxies: list[FaultyProxy] = []
-        self.events.on_end = lambda server: self.proxy_of(server).stop()
+        self.events.on_end = self._handle_end
+        self._has_links = has_links
+        if not has_links:
+            self.store.rewrite = lambda _caller, item: item
 
     def proxy_of(self, server: ShardServer) -> FaultyProxy:
         """Return the proxy in front of a backend server."""
@@ -35,8 +43,15 @@
             self.proxies.append(FaultyProxy(server.host, server.port))
         proxy = self.proxies[at]
         await proxy.start(f"127.{self.network}.7.1", PROXY_PORT + at)
+        if self._has_links:
+            await self.open_links(at, f"127.{self.network}.7.1", proxy.port)
         await self.store.put(f"servers/{server.instance_id}", self.store_value(server, proxy))
 
+    def _handle_end(self, server: ShardServer) -> None:
+        self.proxy_of(server).stop()
+        if self._has_links:
+            self.close_links(self.servers.index(server))
+
     async def stop(self) -> None:
         """Stop the fleet and the proxies."""
         for number in self.processes:
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -232,7 +232,7 @@
     assert _peers(members, 0).limit_share() == pytest.approx(1 / 8)
     peers = _peers(members, 0)
     peers.set_cut_off(True)
-    assert peers.limit_share(of_reaching=True) == pytest.approx(1 / 4)
+    assert peers.limit_share(of_reaching=True) == pytest.approx(1 / 3)
 
 
 def test_requests_are_forwarded_to_peers_that_reach_servers_and_stay():
