Check for peers only while cut off, and judge no links by a late process

The list of peers that may take requests was built for each request; it is now built once the router is cut off. A check of the links whose connections fail later than their timeout shows that this process was late, not that servers are out of reach: an overloaded router would have handed its requests to others (test_check_that_this_process_delays_does_not_find_a_cut).

--- a/fighinge/router/handover.py
+++ b/fighinge/router/handover.py
@@ -78,15 +78,17 @@
         self, call: RequestCall, request: CallerRequest, *, is_idempotent: bool
     ) -> RequestResult | Answer:
         """Return the result of the calls, or the answer of a peer."""
-        if request.is_forwarded or not self._forwarder.has_peer():
+        if request.is_forwarded:
             return await call.run()
         if not self._reachability.is_cut_off:
             result = await self._run_until_cut_off(call, is_idempotent=is_idempotent)
             if result is not None and not (
                 await self._is_due_to_links(result)
-                and _may_forward(call, is_idempotent=is_idempotent)
+                and self._may_forward(call, is_idempotent=is_idempotent)
             ):
                 return result
+        elif not self._forwarder.has_peer():
+            return await call.run()
         return await self._forward(call, request, is_idempotent=is_idempotent)
 
     async def _run_until_cut_off(
@@ -97,13 +99,19 @@
         cut_off = asyncio.ensure_future(self._reachability.wait_until_cut_off())
         try:
             await asyncio.wait({running, cut_off}, return_when=asyncio.FIRST_COMPLETED)
-            if not running.done() and _may_forward(call, is_idempotent=is_idempotent):
+            if not running.done() and self._may_forward(call, is_idempotent=is_idempotent):
                 return None
             return await running
         finally:
             running.cancel()
             cut_off.cancel()
 
+    def _may_forward(self, call: RequestCall, *, is_idempotent: bool) -> bool:
+        """Return whether a peer may run the request; if it may have run here, a retry is spent."""
+        if not self._forwarder.has_peer():
+            return False
+        return not call.may_have_run or (is_idempotent and call.acquire_repeat())
+
     async def _is_due_to_links(self, result: RequestResult) -> bool:
         if not isinstance(result, Failure) or not self._reachability.is_suspected(self._clock()):
             return False
@@ -126,8 +134,3 @@
             reason=answer.reason if isinstance(answer, Failure) else "",
         )
         return answer
-
-
-def _may_forward(call: RequestCall, *, is_idempotent: bool) -> bool:
-    """Return whether a peer may have the request run; if it may have run here, a retry is spent."""
-    return not call.may_have_run or (is_idempotent and call.acquire_repeat())
--- a/fighinge/router/reachability.py
+++ b/fighinge/router/reachability.py
@@ -29,6 +29,7 @@
 MIN_SAMPLE_SERVERS = 3  # fewer prove nothing
 RECOVERED_RATIO = 0.5  # of the sample; a router that reaches a part serves by that
 CHECK_INTERVAL_S = 0.5
+MAX_CHECK_S = 0.6  # a connect timeout and some delay; beyond it, this process itself was late
 MAX_CRASH_CHECK_AGE_S = 0.1  # a cut that begins later would look like crashes of servers
 RETURN_DELAY_S = 1.0  # peers lower their shares of limits before this router uses its own again
 
@@ -147,8 +148,11 @@
         addresses = self._sample()
         if len(addresses) < MIN_SAMPLE_SERVERS:
             return
+        started_s = self._clock()
         accepted = await self._count_accepted(addresses)
         now_s = self._clock()
+        if not accepted and now_s - started_s > MAX_CHECK_S:
+            return
         if self._state is LinkState.REACHING:
             if accepted == 0:
                 self._set_state(LinkState.CUT_OFF, accepted, len(addresses), now_s)
--- a/tests/router/test_reachability.py
+++ b/tests/router/test_reachability.py
@@ -8,6 +8,7 @@
 
 from fighinge.router.reachability import (
     CHECK_INTERVAL_S,
+    MAX_CHECK_S,
     MIN_FAILED_SERVERS,
     RETURN_DELAY_S,
     SAMPLE_SERVERS,
@@ -72,6 +73,22 @@
     assert run(work()) == ["cut off"]
 
 
+def test_check_that_this_process_delays_does_not_find_a_cut():
+    async def work():
+        router = LinkFixture()
+
+        async def accepts(_address):
+            await asyncio.sleep(2 * MAX_CHECK_S)
+            return False
+
+        router.calls.accepts_connections = accepts
+        router.fail(*router.backends())
+        await asyncio.sleep(3.0)
+        return router.states()
+
+    assert run(work()) == []
+
+
 def test_servers_that_are_down_do_not_count_as_a_cut():
     async def work():
         router = LinkFixture()
