Refuse less urgent requests under a limit as overloaded, and promise only servers that are waited for

A request that had to leave a grant to more urgent ones was refused with 503 "no backend server is in service": the reason was taken from the view of the most urgent kind. It is refused with 429 and the limit as reason. A refused query also promised grants of limited servers in shards that had other servers free, which made later callers wait longer for them. An unused slot is removed.

--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -202,7 +202,9 @@
         return min((wait_s for wait_s in waits_s if wait_s is not None), default=None)
 
     def promise_return(self, service: Service, now_s: float) -> None:
-        """Record that a caller was told to return after :meth:`wait_s`."""
+        """Record that a caller was told to return after :meth:`wait_s`, if it has to wait."""
+        if not self.wait_s(service, now_s):
+            return
         known = [
             (wait_s, index)
             for index, backend in enumerate(service.backends)
--- a/fighinge/router/reachability.py
+++ b/fighinge/router/reachability.py
@@ -59,7 +59,6 @@
         "_log",
         "_pool",
         "_random",
-        "_returned_s",
         "_since_s",
         "_state",
         "_wake_up",
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -222,8 +222,7 @@
         if not self._may_call_again(now_s):
             return self._final_result()
         typical_s = self._call_runner.typical_latencies.typical_s(self._limits.latency_key)
-        is_urgent = self.service.urgency.is_most_urgent(self._limits.priority, now_s)
-        backend = self._choose(typical_s, now_s, is_urgent=is_urgent)
+        backend = self._choose(typical_s, now_s, is_urgent=self._is_urgent(now_s))
         if backend is None:
             return None if self._is_busy(now_s) else self._final_result()
         if self._calls_sent and not self._acquire_retry(now_s):
@@ -282,11 +281,14 @@
 
     def _is_busy(self, now_s: float) -> bool:
         """Return whether a candidate is unusable only because all its connections are in use."""
-        is_urgent = self.service.urgency.is_most_urgent(self._limits.priority, now_s)
+        is_urgent = self._is_urgent(now_s)
         return any(
             backend.takes_calls(now_s, is_urgent=is_urgent) for backend in self._candidates()
         )
 
+    def _is_urgent(self, now_s: float) -> bool:
+        return self.service.urgency.is_most_urgent(self._limits.priority, now_s)
+
     def _hedge_s(self, now_s: float) -> float:
         """Return the time at which the call in flight is hedged."""
         limits = self._limits
@@ -376,7 +378,11 @@
         if self._calls_sent:
             return Failure(ErrorKind.OVERLOADED, "all backend servers refused the request")
         now_s = self._clock()
-        if any(backend.limit.is_reached(now_s) for backend in self.service.backends):
+        is_urgent = self._is_urgent(now_s)
+        if any(
+            backend.limit.is_reached(now_s, is_urgent=is_urgent)
+            for backend in self.service.backends
+        ):
             return Failure(ErrorKind.OVERLOADED, "backend servers are at the limit that they name")
         if self._pool.wait_s(self.service, now_s):
             return Failure(ErrorKind.OVERLOADED, "all backend servers want a pause")
--- a/tests/router/test_named_limit.py
+++ b/tests/router/test_named_limit.py
@@ -152,8 +152,27 @@
         urgent, other = await asyncio.gather(
             _send_for(router, 10.0, "/urgent/a", 0.1), _send_for(router, 10.0, "/other/a", 0.1)
         )
-        return [sum(item.status == 200 for item, _ in answers) for answers in (urgent, other)]
+        statuses = {item.status for item, _ in (*urgent, *other)}
+        served = [sum(item.status == 200 for item, _ in answers) for answers in (urgent, other)]
+        return statuses, *served
 
-    urgent, other = run(work())
+    statuses, urgent, other = run(work())
+    assert statuses == {200, 429}
     assert urgent > 1.5 * other
     assert other >= 20
+
+
+def test_limited_server_beside_free_ones_is_promised_to_nobody():
+    async def work():
+        router = RouterFixture()
+        router.publish(table(route()), *THREE_RECORDS)
+        router.calls.script("i1", _limited(2))
+        await router.send()
+        service = router.pool.service("s0")
+        limited = next(item for item in service.backends if item.record.instance_id == "i1")
+        before_s = limited.wait_s(router.clock())
+        router.pool.promise_return(service, router.clock())
+        return before_s, limited.wait_s(router.clock())
+
+    before_s, after_s = run(work())
+    assert before_s == after_s
