--- a/tests/platform/guarantees.py
+++ b/tests/platform/guarantees.py
@@ -4,6 +4,7 @@
 
 import heapq
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -11,6 +12,9 @@
 from fighinge.router.service_call import MAX_REPEAT_CALLS
 from standins.shard_server import Run, records
 
+if TYPE_CHECKING:
+    from tests.platform.fleet import Reply
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MAX_ATTEMPTS = 2
 TOP_RECORDS = 5
@@ -33,6 +37,24 @@
     sent_s: float = 0.0
     done_s: float = 0.0
 
+    @classmethod
+    def from_reply(
+        cls, request_id: str, target: str, router: int, sent_s: float, done_s: float, reply: Reply
+    ) -> RecordedExchange:
+        """Return the exchange of a request whose route is named by its target."""
+        route = target.split("/")[1]
+        return cls(
+            request_id,
+            route,
+            reply.status,
+            reply.headers,
+            reply.body,
+            target,
+            router,
+            sent_s,
+            done_s,
+        )
+
     def has_answer_of(self, instance_id: str) -> bool:
         """Return whether the response holds the answer of a backend server."""
         stamps = ("x-server-stamp", "x-part-stamps")
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -150,16 +150,8 @@
         sent_s = self._clock()
         reply = await connection.send(data)
         self._exchanges.append(
-            RecordedExchange(
-                request_id,
-                route,
-                reply.status,
-                reply.headers,
-                reply.body,
-                f"/{route}/{name}",
-                router,
-                sent_s,
-                self._clock(),
+            RecordedExchange.from_reply(
+                request_id, f"/{route}/{name}", router, sent_s, self._clock(), reply
             )
         )
         return reply.status
--- a/tests/platform/test_named_limits.py
+++ b/tests/platform/test_named_limits.py
@@ -32,17 +32,7 @@
             sent_s = clock()
             request_id, reply = await fleet.ask(router, path)
             exchanges.append(
-                RecordedExchange(
-                    request_id,
-                    path.split("/")[1],
-                    reply.status,
-                    reply.headers,
-                    reply.body,
-                    path,
-                    router,
-                    sent_s,
-                    clock(),
-                )
+                RecordedExchange.from_reply(request_id, path, router, sent_s, clock(), reply)
             )
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
--- a/tests/platform/test_partitioned_routers.py
+++ b/tests/platform/test_partitioned_routers.py
@@ -36,17 +36,7 @@
             sent_s = clock()
             reply = await connection.send(data)
             exchanges.append(
-                RecordedExchange(
-                    request_id,
-                    path.split("/")[1],
-                    reply.status,
-                    reply.headers,
-                    reply.body,
-                    path,
-                    router,
-                    sent_s,
-                    clock(),
-                )
+                RecordedExchange.from_reply(request_id, path, router, sent_s, clock(), reply)
             )
             await asyncio.sleep(REQUEST_INTERVAL_S)
         connection.close()
