Let the second end of overlapping cuts in the soak change nothing

Soak runs ended with "address already in use" when two cuts of one router overlapped: the first end let the link listen again, and the second tried it once more.

--- a/standins/cuttable_link.py
+++ b/standins/cuttable_link.py
@@ -60,7 +60,9 @@
             self._block()
 
     async def heal(self) -> None:
-        """End the cut; connections that were silent are reset."""
+        """End the cut, if there is one; connections that were silent are reset."""
+        if self._how is None:
+            return
         if self._how is Cut.HANG:
             self._proxy.reset_connections()
         self._how = None
