Tell a router that forwards requests which servers said that they leave

A router that is cut off passes on answers of servers that say they leave, but did not read them: the peer that had called the servers did. After the cut it called such a server again, more than 3 s after it had passed the statement on. The peer now names the runs of servers that leave with its answer, and the router heeds them. test_peer_tells_which_servers_said_that_they_leave and test_server_that_told_a_peer_that_it_leaves_gets_no_calls_after_the_cut fail without the change.

--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -264,6 +264,10 @@
         self.is_leaving = self.is_leaving or statement.is_leaving
         self._refused_until_s = max(self._refused_until_s, refused_until_s)
 
+    def record_leaving(self) -> None:
+        """Record that the server has said to a peer that it leaves, which is final."""
+        self.is_leaving = True
+
     def forget_unreachable(self) -> None:
         """Forget failures that were not due to the server."""
         self._down_until_s = float("-inf")
--- a/fighinge/router/exchange.py
+++ b/fighinge/router/exchange.py
@@ -38,12 +38,17 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """A response to a caller; ``is_not_run`` if it guarantees that the request did not run."""
+    """A response to a caller.
+
+    ``is_not_run`` guarantees that the request did not run. ``leaving_servers`` tells a router that
+    forwarded the request which runs of the servers it was sent to have said that they leave.
+    """
 
     status: int
     headers: Headers
     body: bytes
     is_not_run: bool = False
+    leaving_servers: tuple[str, ...] = ()
 
 
 class BackendRequest(msgspec.Struct, frozen=True):
--- a/fighinge/router/gather.py
+++ b/fighinge/router/gather.py
@@ -78,6 +78,10 @@
         """Spend a retry of each shard that may have run the request, if their budgets allow it."""
         return all(call.acquire_repeat() for call in self.calls)
 
+    def leaving_servers(self) -> tuple[str, ...]:
+        """Return the runs of servers that were called and leave."""
+        return tuple(name for call in self.calls for name in call.leaving_servers())
+
     def promise_return(self, now_s: float) -> None:
         """Record that the caller was told to return after :meth:`wait_s`."""
         for name in self._gather.shards:
--- a/fighinge/router/handover.py
+++ b/fighinge/router/handover.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from fighinge.router.decision_log import DecisionLog
+    from fighinge.router.pool import BackendPool
     from fighinge.router.reachability import Reachability
 
 MAX_CHECK_AGE_S = 0.5  # bounds the checks while a service is down for all routers
@@ -32,6 +33,9 @@
     def acquire_repeat(self) -> bool:
         """Spend a retry at each service that may have run the request, if the budgets allow it."""
 
+    def leaving_servers(self) -> tuple[str, ...]:
+        """Return the runs of servers that were called and leave."""
+
     def wait_s(self, now_s: float) -> float | None:
         """Return the time until servers take a further request, if it is known."""
 
@@ -60,17 +64,19 @@
     A request that a peer has forwarded is served here, so that none makes more than one hop.
     """
 
-    __slots__ = ("_clock", "_forwarder", "_log", "_reachability")
+    __slots__ = ("_clock", "_forwarder", "_log", "_pool", "_reachability")
 
     def __init__(
         self,
         reachability: Reachability,
         forwarder: PeerForwarder,
+        pool: BackendPool,
         log: DecisionLog,
         clock: Callable[[], float],
     ) -> None:
         self._reachability = reachability
         self._forwarder = forwarder
+        self._pool = pool
         self._log = log
         self._clock = clock
 
@@ -124,6 +130,8 @@
         answer = await self._forwarder.forward(
             request, is_idempotent=is_idempotent, servers_reached=int(call.may_have_run)
         )
+        if isinstance(answer, Answer):
+            self._pool.record_leaving(answer.leaving_servers)
         self._log.write(
             "request forwarded",
             request=request.request_id,
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -120,6 +120,13 @@
         """Return the services that are known or were asked for."""
         return self._services.values()
 
+    def record_leaving(self, run_names: Collection[str]) -> None:
+        """Record that runs of servers have said, in answers to a peer, that they leave."""
+        if run_names:
+            for backend in self._backends.values():
+                if backend.record.run_name in run_names:
+                    backend.record_leaving()
+
     def forget_unreachable(self) -> None:
         """Forget which servers this router could not reach, as that was due to its own links."""
         for backend in self._backends.values():
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -111,7 +111,7 @@
         )
         self._reachability.listen(self.peers.set_cut_off)
         self._forwarder = Forwarder.from_settings(settings, self.peers, steady_clock, self._random)
-        handover = Handover(self._reachability, self._forwarder, log, steady_clock)
+        handover = Handover(self._reachability, self._forwarder, self.pool, log, steady_clock)
         self.service = RouterService(
             self.view, self.pool, call_runner, handover, codec, log, steady_clock
         )
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from fighinge.errors import ERROR_PROPERTIES, ErrorKind, Failure
 from fighinge.router.crash_suspects import request_fingerprint
 from fighinge.router.exchange import Answer, BackendResponse, CallerRequest, MergedAnswer
@@ -101,7 +103,10 @@
         wait_s = call.wait_s(now_s)
         if wait_s and isinstance(result, Failure) and result.properties.not_run:
             call.promise_return(now_s)
-        return self._finish(request, route, version, result, call.trace_text(), wait_s)
+        answer = self._finish(request, route, version, result, call.trace_text(), wait_s)
+        if request.is_forwarded:
+            return msgspec.structs.replace(answer, leaving_servers=call.leaving_servers())
+        return answer
 
     def _new_call(
         self, request: CallerRequest, route: Route, suspect_services: Collection[str]
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -127,6 +127,10 @@
         budget = self.service.retry_budget
         return not self.may_have_run or budget.acquire_retry(self._pool.limit_share, now_s)
 
+    def leaving_servers(self) -> tuple[str, ...]:
+        """Return the runs of servers that were called and leave."""
+        return tuple(backend.record.run_name for backend in self._tried if backend.is_leaving)
+
     def wait_s(self, now_s: float) -> float | None:
         """Return the time until a server takes a further call, if it is known.
 
--- a/standins/cuttable_link.py
+++ b/standins/cuttable_link.py
@@ -29,21 +29,20 @@
         self._proxy = FaultyProxy(target_host, target_port)
         self._host, self._port = host, port
         self._is_up = False
+        self._is_listening = False
+        self._settling = asyncio.Lock()
         self._how: Cut | None = None
         self._blockers: list[socket.socket] = []
 
     async def start(self) -> None:
         """Listen, unless the link is cut; the server has started."""
-        if not self._is_up:
-            self._is_up = True
-            if self._how is None:
-                await self._proxy.start(self._host, self._port)
+        self._is_up = True
+        await self._settle()
 
     def stop(self) -> None:
         """Refuse new connections and reset the open ones; the server has ended."""
-        if self._is_up and self._how is None:
-            self._proxy.stop_listening()
         self._is_up = False
+        self._stop_listening()
         self._proxy.reset_connections()
 
     async def cut(self, how: Cut) -> None:
@@ -51,8 +50,7 @@
         if self._how is not None:
             return
         self._how = how
-        if self._is_up:
-            self._proxy.stop_listening()
+        self._stop_listening()
         if how is Cut.RESET:
             self._proxy.reset_connections()
         if how is Cut.HANG:
@@ -68,8 +66,22 @@
         self._how = None
         self.unblock()
         self._proxy.mode = ""
-        if self._is_up:
-            await self._proxy.start(self._host, self._port)
+        await self._settle()
+
+    async def _settle(self) -> None:
+        """Listen if server and link are up, which may change while the listener opens."""
+        async with self._settling:
+            while (self._is_up and self._how is None) != self._is_listening:
+                if self._is_listening:
+                    self._stop_listening()
+                    continue
+                await self._proxy.start(self._host, self._port)
+                self._is_listening = True
+
+    def _stop_listening(self) -> None:
+        if self._is_listening:
+            self._is_listening = False
+            self._proxy.stop_listening()
 
     def unblock(self) -> None:
         """Close the sockets that keep connections from being established."""
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -258,7 +258,7 @@
             self.clock,
         )
         self.forwarder = ScriptedForwarder()
-        handover = Handover(self.reachability, self.forwarder, self.log, self.clock)
+        handover = Handover(self.reachability, self.forwarder, self.pool, self.log, self.clock)
         self.service = RouterService(
             self.view, self.pool, self.call_runner, handover, codec, self.log, self.clock
         )
--- a/tests/router/test_handover.py
+++ b/tests/router/test_handover.py
@@ -12,6 +12,7 @@
     LOST,
     REFUSED,
     RouterFixture,
+    answer,
     backend_record,
     gather_route,
     route,
@@ -154,3 +155,26 @@
         return answered.status, "Retry-After" in dict(answered.headers)
 
     assert run(work()) == (503, True)
+
+
+def test_peer_tells_which_servers_said_that_they_leave():
+    async def work():
+        router = _router(has_peer=False)
+        router.calls.script("i1", (0.001, answer(Server_Leaving="1")))
+        return (await router.send(is_forwarded=True)).leaving_servers
+
+    assert run(work()) == ("i1@1",)
+
+
+def test_server_that_told_a_peer_that_it_leaves_gets_no_calls_after_the_cut():
+    async def work():
+        router = _router()
+        router.forwarder.answer = Answer(200, (), b"x", leaving_servers=("i1@1",))
+        await _cut_off(router)
+        await router.send()
+        router.calls.is_cut_off = False
+        for _ in range(20):
+            await router.send(is_forwarded=True)
+        return {name for name, _ in router.calls.sent}
+
+    assert "i1" not in run(work())
