--- a/fighinge/router/handover.py
+++ b/fighinge/router/handover.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from fighinge.errors import Failure
+from fighinge.errors import ErrorKind, Failure
 from fighinge.router.exchange import Answer, BackendResponse, CallerRequest, MergedAnswer
 
 if TYPE_CHECKING:
@@ -181,7 +181,12 @@
 
     async def _forward(
         self, call: RequestCall, request: CallerRequest, *, is_idempotent: bool
-    ) -> Answer | Failure:
+    ) -> RequestResult | Answer:
+        """Return the answer of a peer.
+
+        If all peers refuse while this router is returning, for instance since all servers were down
+        and each router took itself for cut off, the request is served here.
+        """
         started_s = self._clock()
         answer = await self._forwarder.forward(
             request, is_idempotent=is_idempotent, reached_servers=call.reached_servers()
@@ -189,6 +194,12 @@
         self._record_forwarded(
             "request forwarded", request, answer, started_s, may_have_run=call.may_have_run
         )
+        if not isinstance(answer, Failure) or not answer.properties.not_run:
+            return answer
+        if call.may_have_run:
+            return Failure(ErrorKind.BACKEND_LOST, f"an earlier call may have run; {answer.reason}")
+        if self._reachability.is_returning:
+            return await call.run()
         return answer
 
     def _record_forwarded(
--- a/tests/platform/test_repeated_crashes.py
+++ b/tests/platform/test_repeated_crashes.py
@@ -150,8 +150,6 @@
 ):
     late, served = _run(tmp_path, case, **fleet)
     assert late <= MAX_LATE_ARRIVALS
-    if served < MIN_SERVED_RATIO and fleet.get("shards") == 10:
-        pytest.xfail(f"KNOWN-RED 18: {served:.3f} of the last popular requests were served")
     assert served >= MIN_SERVED_RATIO
 
 
--- a/tests/router/test_handover.py
+++ b/tests/router/test_handover.py
@@ -225,6 +225,38 @@
     assert run(work()) == (503, True)
 
 
+def test_request_that_all_peers_refuse_is_served_here_once_the_links_work_again():
+    async def work():
+        router = _router()
+        await _cut_off(router)
+        router.forwarder.answer = Failure(ErrorKind.NO_REPLICA, "no peer takes requests")
+        router.calls.is_cut_off = False
+        await router.reachability.causes_refusal(0.0)
+        checking = asyncio.create_task(router.reachability.run())
+        await asyncio.sleep(0.1)
+        is_returning = router.reachability.is_returning
+        answered = await router.send()
+        checking.cancel()
+        return is_returning, answered.status, len(router.calls.sent)
+
+    assert run(work()) == (True, 200, 1)
+
+
+def test_refusal_of_peers_promises_nothing_for_a_request_that_may_have_run_here():
+    async def work():
+        router = _router()
+        router.forwarder.answer = Failure(ErrorKind.NO_REPLICA, "no peer takes requests")
+        for record in THREE_RECORDS:
+            router.calls.script(record.instance_id, (10.0, None))
+        sending = asyncio.create_task(router.send())
+        await asyncio.sleep(0.1)
+        await _cut_off(router)
+        answered = await sending
+        return answered.status, "Retry-After" in dict(answered.headers), answered.is_not_run
+
+    assert run(work()) == (502, False, False)
+
+
 def test_peer_tells_which_servers_said_that_they_leave():
     async def work():
         router = _router(has_peer=False)
