--- a/fighinge/platform/headers.py
+++ b/fighinge/platform/headers.py
@@ -97,7 +97,11 @@
             (EXPECTED_INSTANCE, instance_id),
         )
         return BackendRequest(
-            request.method, request.target, (*own, *request.headers), request.body
+            request.method,
+            request.target,
+            (*own, *request.headers),
+            request.body,
+            (REQUEST_ID, request.request_id),
         )
 
     def decode_response(
--- a/fighinge/router/exchange.py
+++ b/fighinge/router/exchange.py
@@ -56,12 +56,17 @@
 
 
 class BackendRequest(msgspec.Struct, frozen=True):
-    """A request as it is sent to a backend server."""
+    """A request as it is sent to a backend server.
+
+    ``echoed_header`` names a header whose value the response repeats, if it has that header; with
+    another value, it belongs to another request.
+    """
 
     method: str
     target: str
     headers: Headers
     body: bytes
+    echoed_header: tuple[str, str] | None = None
 
 
 class ReportedLoad(msgspec.Struct, frozen=True):
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -14,7 +14,7 @@
 from fighinge.overload import OverloadDetector
 from fighinge.pauses import PauseDetector
 from fighinge.router.addresses import RouterAddress
-from fighinge.router.backend_calls import CurlBackendCalls
+from fighinge.router.backend_calls import PooledBackendCalls
 from fighinge.router.call_runner import CallRunner
 from fighinge.router.cold_limit import ColdLimits
 from fighinge.router.crash_check import CrashCheck
@@ -94,7 +94,7 @@
         cold_limits = ColdLimits(settings.cold_rate_factor, settings.cold_rate_slack)
         own_address = RouterAddress(settings.address, settings.zone)
         self.pool = BackendPool(self.view, own_address, budget_limits, cold_limits, self._random)
-        self.calls = CurlBackendCalls.create(settings.address)
+        self.calls = PooledBackendCalls.create(settings.address)
         self._staleness = StalenessDetector(self.view, steady_clock)
         self.peers = Peers(settings, steady_clock, time.time, self._random, self._staleness)
         suspects = CrashSuspects(
