--- a/fighinge/facts.py
+++ b/fighinge/facts.py
@@ -44,9 +44,10 @@
 class FactBoard:
     """The facts known to a process, its own and those of its peers."""
 
-    __slots__ = ("_facts", "_listeners")
+    __slots__ = ("_facts", "_keys", "_listeners")
 
     def __init__(self) -> None:
+        self._keys: set[str] = set()
         self._facts: dict[tuple[FactKind, str], dict[str, Fact]] = {}
         self._listeners: list[Callable[[Fact], None]] = []
 
@@ -72,10 +73,15 @@
         ):
             return False
         self._facts.setdefault((fact.kind, fact.key), {})[fact.value] = fact
+        self._keys.add(fact.key)
         for listener in self._listeners:
             listener(fact)
         return True
 
+    def may_have(self, key: str) -> bool:
+        """Return whether there may be facts on a key; false is certain."""
+        return key in self._keys
+
     def facts(self, kind: FactKind, key: str, now_s: float) -> list[Fact]:
         """Return the unexpired facts on a key."""
         facts = self._facts.get((kind, key), {}).values()
@@ -99,6 +105,7 @@
             if fact.expires_s > now_s
         ]
         self._facts = {}
+        self._keys = {fact.key for fact in unexpired}
         for fact in unexpired:
             self._facts.setdefault((fact.kind, fact.key), {})[fact.value] = fact
         return unexpired
--- a/fighinge/platform/headers.py
+++ b/fighinge/platform/headers.py
@@ -46,6 +46,8 @@
 ROUTER_HEADERS = frozenset(
     name.lower() for name in ("Host", REQUEST_ID, DEADLINE, EXPECTED_INSTANCE)
 )
+STATEMENT_HEADERS = frozenset(name.lower() for name in (LEAVING, RATE_LIMIT, RETRY_AFTER))
+NO_STATEMENT = ServerStatement()
 _REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,200}")
 
 
@@ -116,7 +118,9 @@
         answered_id = values.get(REQUEST_ID.lower())
         if answered_id is not None and answered_id != request.request_id:
             return Failure(ErrorKind.BACKEND_FAULT, "the response belongs to another request")
-        excluded = _parse_connection_options(values.get("connection", "")) | HOP_BY_HOP_HEADERS
+        excluded = HOP_BY_HOP_HEADERS
+        if "connection" in values:
+            excluded = excluded | _parse_connection_options(values["connection"])
         return BackendResponse(
             status=response.status,
             headers=tuple(pair for pair in response.headers if pair[0].lower() not in excluded),
@@ -130,8 +134,9 @@
 
     def decode_statement(self, response: RawResponse | InterruptedResponse) -> ServerStatement:
         """Return what a backend server says of itself; another instance says nothing of it."""
-        if response.status == 421:
-            return ServerStatement()
+        names = {name.lower() for name, _ in response.headers}
+        if response.status == 421 or names.isdisjoint(STATEMENT_HEADERS):
+            return NO_STATEMENT
         values = {name.lower(): value for name, value in response.headers}
         refusal_s = None
         if response.status == 503:
--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -136,11 +136,11 @@
 
     def takes_calls(self, now_s: float, *, is_urgent: bool = True) -> bool:
         """Return whether a call may be sent as soon as a connection is free."""
-        return (
-            self.is_in_service(now_s)
-            and not self.is_at_cold_limit(now_s)
-            and not self.limit.is_reached(now_s, is_urgent=is_urgent)
-        )
+        if not self.is_in_service(now_s):
+            return False
+        if self.cold_quota is not None and self.is_at_cold_limit(now_s):
+            return False
+        return not self.limit.is_reached(now_s, is_urgent=is_urgent)
 
     def adopt_statements(self, previous: Backend) -> None:
         """Heed statements that this run may have made before its record was known.
@@ -152,7 +152,8 @@
 
     def is_in_service(self, now_s: float) -> bool:
         """Return whether the server takes calls, apart from limits of their number."""
-        return not (self.is_leaving or self.is_down(now_s) or self.refusal_left_s(now_s) > 0)
+        is_refused = now_s < self._refused_until_s
+        return not (self.is_leaving or is_refused or now_s < self._down_until_s)
 
     def wait_s(self, now_s: float) -> float | None:
         """Return the time until a further caller's request may be sent.
@@ -202,11 +203,15 @@
 
     def slowness(self, now_s: float) -> float:
         """Return the ratio of this server's latency to the typical one."""
+        if self._slowness == 1.0:
+            return 1.0
         idle_s = now_s - self._slowness_updated_s
         return 1.0 + (self._slowness - 1.0) * math.exp(-idle_s / SLOWNESS_DECAY_S)
 
     def failure_rate(self, now_s: float) -> float:
         """Return the fraction of recent calls that gave no usable answer."""
+        if not self._failure_rate:
+            return 0.0
         idle_s = now_s - self._failure_rate_updated_s
         return min(MAX_FAILURE_RATE, self._failure_rate * math.exp(-idle_s / FAILURE_DECAY_S))
 
--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -102,7 +102,12 @@
             is_probe,
             follows_loss,
         )
-        has_started = asyncio.Event()
+        has_started = False
+
+        def record_start() -> None:
+            nonlocal has_started
+            has_started = True
+
         call = self._run(
             request,
             backend,
@@ -111,7 +116,7 @@
             sent_call,
             call_number,
             is_idempotent,
-            has_started.set,
+            record_start,
         )
         task = asyncio.create_task(call)
 
@@ -122,7 +127,7 @@
                 backend.cancel_call(call_number, now_s)
                 if now_s - started_s >= SILENT_CALL_S:
                     self._reachability.record_failure(backend, now_s)
-                if has_started.is_set() and self.crash_suspects.record_cancelled(sent_call, now_s):
+                if has_started and self.crash_suspects.record_cancelled(sent_call, now_s):
                     self._crash_check.start(backend)
 
         task.add_done_callback(handle_end)
--- a/fighinge/router/crash_ledger.py
+++ b/fighinge/router/crash_ledger.py
@@ -44,6 +44,8 @@
         """Record that a call was answered; routers that know of earlier crashes are told."""
         key = (call.fingerprint, call.service)
         self._answered.add(key, max(call.started_s, self._answered.last_s(key, now_s)))
+        if not self.may_have_facts(call.fingerprint):
+            return
         published_s = self._published_answers(call.fingerprint, now_s).get(call.service, NEVER_S)
         outweighed_s = [
             crash.sent_s
@@ -59,6 +61,10 @@
             answer = CallAnswer(call.service, call.started_s)
             self._board.add(answer.to_fact(call.fingerprint), now_s)
 
+    def may_have_facts(self, fingerprint: str) -> bool:
+        """Return whether a router may have recorded anything of a request; false is certain."""
+        return self._board.may_have(fingerprint)
+
     def add_quarantine(self, fingerprint: str, quarantine: Quarantine, now_s: float) -> None:
         """Tell all routers not to send a request."""
         self._board.add(quarantine.to_fact(fingerprint), now_s)
--- a/fighinge/router/crash_suspects.py
+++ b/fighinge/router/crash_suspects.py
@@ -85,6 +85,8 @@
 
     def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
         """Return whether the request crashed enough servers, as far as any router knows."""
+        if not self._ledger.may_have_facts(fingerprint):
+            return False
         for quarantine in self._ledger.quarantines(fingerprint, now_s):
             if self._applies(quarantine, fingerprint, now_s):
                 return True
@@ -106,6 +108,8 @@
 
     def suspect_services(self, fingerprint: str, now_s: float) -> set[str]:
         """Return the services whose servers crashed under a suspect request, otherwise none."""
+        if not self._ledger.may_have_facts(fingerprint):
+            return set()
         crashes = self._ledger.possible_crashes(fingerprint, now_s)
         if count_servers(crashes) < CRASHES_TO_SUSPECT:
             return set()
--- a/fighinge/router/gather.py
+++ b/fighinge/router/gather.py
@@ -10,6 +10,7 @@
 from fighinge.errors import ErrorKind, Failure
 from fighinge.router.call_trace import format_traces
 from fighinge.router.coverage_rule import CoverageRule, Verdict
+from fighinge.router.ended_tasks import EndedTasks
 from fighinge.router.exchange import BackendResponse, CallerRequest, MergedAnswer
 from fighinge.router.service_call import CallLimits, ServiceCall
 
@@ -30,6 +31,7 @@
     __slots__ = (
         "_call_runner",
         "_clock",
+        "_ended",
         "_excluded",
         "_gather",
         "_limits",
@@ -66,6 +68,7 @@
         self._responses: list[BackendResponse] = []
         self._excluded: frozenset[str] = frozenset()
         self._pending: set[asyncio.Task] = set()
+        self._ended = EndedTasks()
         self.calls: list[ServiceCall] = []
         self.skipped_shards: list[str] = []
 
@@ -122,6 +125,8 @@
         self._pending = {
             asyncio.create_task(call.run(), name=call.service.name) for call in new_calls
         }
+        for task in self._pending:
+            task.add_done_callback(self._ended.add)
         try:
             return await self._collect()
         finally:
@@ -186,12 +191,8 @@
                 return self._merge()
             if verdict is Verdict.FAIL:
                 return self._coverage_failure(now_s)
-            done, self._pending = await asyncio.wait(
-                self._pending,
-                timeout=max(0.0, self._rule.next_check_s(now_s) - now_s),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            for task in done:
+            for task in await self._ended.wait(self._rule.next_check_s(now_s) - now_s):
+                self._pending.discard(task)
                 result = task.result()
                 if isinstance(result, BackendResponse) and result.is_success:
                     self._responses.append(result)
@@ -207,8 +208,11 @@
         """
         now_s = self._clock()
         typical_s = self._call_runner.typical_latencies.typical_s(self._limits.latency_key)
+        patience_s = self._limits.soft_deadline_s - now_s
         expected_s = {
-            shard.name: self._pool.expected_s(shard, typical_s, now_s) for shard in shards
+            shard.name: self._pool.expected_s(shard, typical_s, now_s)
+            for shard in shards
+            if not self._pool.answers_within(shard, patience_s, typical_s, now_s)
         }
         unavailable = sum(latency_s is None for latency_s in expected_s.values())
         late = [
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable, Collection, Iterable
 
     from fighinge.aggregator.base import Address
     from fighinge.router.addresses import RouterAddress
@@ -182,9 +182,8 @@
 
     def choose(
         self,
-        service: Service,
+        candidates: Iterable[Backend],
         typical_s: float,
-        excluded: Collection[Backend],
         now_s: float,
         failure_cost_factor: float = 0.0,
         *,
@@ -192,14 +191,14 @@
     ) -> Backend | None:
         """Return the usable backend server with the lowest expected cost, or ``None``.
 
+        :param candidates: backend servers of a service
         :param typical_s: typical latency of the call, in seconds
-        :param excluded: backend servers not to choose
         :param failure_cost_factor: cost of a failed call, in multiples of the typical latency
         :param is_urgent: whether no more urgent requests want what a limit has left
         """
         best, best_cost_s = None, float("inf")
-        for backend in service.backends:
-            if backend in excluded or not backend.is_usable(now_s, is_urgent=is_urgent):
+        for backend in candidates:
+            if not backend.is_usable(now_s, is_urgent=is_urgent):
                 continue
             cost_s = self.cost_s(backend, typical_s, now_s, failure_cost_factor) * (
                 1.0 + COST_JITTER_RATIO * self._random.random()
@@ -219,6 +218,15 @@
             default=None,
         )
 
+    def answers_within(
+        self, service: Service, patience_s: float, typical_s: float, now_s: float
+    ) -> bool:
+        """Return whether a usable server is expected to answer one more call in time."""
+        return any(
+            backend.is_usable(now_s) and backend.expected_s(typical_s, now_s) <= patience_s
+            for backend in service.backends
+        )
+
     def wait_s(self, service: Service, now_s: float, *, is_urgent: bool = True) -> float | None:
         """Return the time until a server takes a further call, as far as the servers have told.
 
--- a/fighinge/router/reached_servers.py
+++ b/fighinge/router/reached_servers.py
@@ -60,6 +60,8 @@
         request, those whose answer was lost: the limit applies to servers and not to calls, and a
         server that loses one answer may well return the next.
         """
+        if not self._reached and not self.earlier_calls:
+            return list(backends)
         reached = {name for name, calls in self._reached.items() if calls > 0}
         if len(reached.union(self.earlier_calls)) >= max_servers:
             return [backend for backend in backends if backend.record.run_name in self._failed]
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -238,10 +238,8 @@
         else:
             spent = self.service.retry_budget.spent_fraction(self._pool.limit_share, now_s)
             failure_cost_factor = LOW_BUDGET_FAILURE_FACTOR * spent
-        candidates = self._candidates()
-        excluded = [backend for backend in self.service.backends if backend not in candidates]
         return self._pool.choose(
-            self.service, typical_s, excluded, now_s, failure_cost_factor, is_urgent=is_urgent
+            self._candidates(), typical_s, now_s, failure_cost_factor, is_urgent=is_urgent
         )
 
     def _candidates(self) -> list[Backend]:
--- a/tests/router/test_pool.py
+++ b/tests/router/test_pool.py
@@ -56,10 +56,10 @@
     def most_chosen(self, now_s=NOW_S, tried=(), failure_cost_factor=0.0):
         """Return the server chosen most often in 20 choices."""
         counts: Counter[str] = Counter()
+        backends = self.pool.service("s0").backends
+        candidates = [backend for backend in backends if backend not in tried]
         for _ in range(20):
-            backend = self.pool.choose(
-                self.pool.service("s0"), TYPICAL_S, tried, now_s, failure_cost_factor
-            )
+            backend = self.pool.choose(candidates, TYPICAL_S, now_s, failure_cost_factor)
             counts[backend.record.instance_id if backend else "none"] += 1
         return counts.most_common(1)[0][0]
 
