--- a/fighinge/platform/servers.py
+++ b/fighinge/platform/servers.py
@@ -40,6 +40,7 @@
             self.router.peers.accepting_routers(),
             self.get_query_argument("zone", ""),
             settings.region_by_zone,
+            self.router.server_zones,
         )
         answer = {
             "addrs": [f"{router.host}:{settings.caller_port}" for router in routers],
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -27,6 +27,8 @@
 MAX_UNLISTED = 1000  # about a megabyte
 MAX_ADDRESSES = 10_000  # about a megabyte
 INTER_ZONE_COST_FACTOR = 0.5  # inter-zone traffic is billed; worth half a typical latency
+RELIABLE_FAILURE_RATE = 0.1  # reached about two seconds after a single failure
+INTER_ZONE_PATIENCE_RATIO = 0.3  # answers are worth the same until the soft deadline
 
 
 class Service:
@@ -187,6 +189,7 @@
         now_s: float,
         failure_cost_factor: float = 0.0,
         *,
+        patience_s: float = 0.0,
         is_urgent: bool = True,
     ) -> Backend | None:
         """Return the usable backend server with the lowest expected cost, or ``None``.
@@ -194,19 +197,28 @@
         :param candidates: backend servers of a service
         :param typical_s: typical latency of the call, in seconds
         :param failure_cost_factor: cost of a failed call, in multiples of the typical latency
+        :param patience_s: time until the soft deadline, in seconds
         :param is_urgent: whether no more urgent requests want what a limit has left
         """
+        usable = [
+            backend for backend in candidates if backend.is_usable(now_s, is_urgent=is_urgent)
+        ]
+        if not any(self._is_near_and_reliable(backend, now_s) for backend in usable):
+            patience_s = 0.0
         best, best_cost_s = None, float("inf")
-        for backend in candidates:
-            if not backend.is_usable(now_s, is_urgent=is_urgent):
-                continue
-            cost_s = self.cost_s(backend, typical_s, now_s, failure_cost_factor) * (
+        for backend in usable:
+            cost_s = self.cost_s(backend, typical_s, now_s, failure_cost_factor, patience_s) * (
                 1.0 + COST_JITTER_RATIO * self._random.random()
             )
             if cost_s < best_cost_s:
                 best, best_cost_s = backend, cost_s
         return best
 
+    def _is_near_and_reliable(self, backend: Backend, now_s: float) -> bool:
+        if backend.record.zone != self._zone:
+            return False
+        return backend.failure_rate(now_s) <= RELIABLE_FAILURE_RATE
+
     def expected_s(self, service: Service, typical_s: float, now_s: float) -> float | None:
         """Return the lowest expected latency of one more call, ``None`` if no server is usable."""
         return min(
@@ -250,13 +262,25 @@
             service.backends[min(known)[1]].limit.promise(now_s)
 
     def cost_s(
-        self, backend: Backend, typical_s: float, now_s: float, failure_cost_factor: float = 0.0
+        self,
+        backend: Backend,
+        typical_s: float,
+        now_s: float,
+        failure_cost_factor: float = 0.0,
+        patience_s: float = 0.0,
     ) -> float:
-        """Return the expected latency plus the cost of a failure and of inter-zone traffic."""
+        """Return the expected latency plus the cost of a failure and of inter-zone traffic.
+
+        A server of another data centre is worth its traffic only if it saves a large part of the
+        time that is left, since an answer is worth the same until the soft deadline.
+        """
         cost_s = backend.expected_s(typical_s, now_s)
         cost_s += failure_cost_factor * typical_s * backend.failure_rate(now_s)
         if backend.record.zone != self._zone:
-            cost_s += INTER_ZONE_RTT_S + INTER_ZONE_COST_FACTOR * typical_s
+            cost_s += INTER_ZONE_RTT_S
+            cost_s += max(
+                INTER_ZONE_COST_FACTOR * typical_s, INTER_ZONE_PATIENCE_RATIO * patience_s
+            )
         return cost_s
 
     def _cold_quota(self, record: BackendRecord) -> int | None:
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -13,7 +13,7 @@
 from fighinge.errors import Failure
 from fighinge.overload import OverloadDetector
 from fighinge.pauses import PauseDetector
-from fighinge.router.addresses import RouterAddress
+from fighinge.router.addresses import RouterAddress, zones_with_servers
 from fighinge.router.backend_calls import PooledBackendCalls
 from fighinge.router.call_runner import CallRunner
 from fighinge.router.cold_limit import ColdLimits
@@ -89,6 +89,7 @@
         self._random = random.Random()
         self._tasks: set[asyncio.Task] = set()
         self.stop_request = StopRequest.from_signals()
+        self.server_zones: frozenset[str] = frozenset()
         self.view = View(log)
         budget_limits = _retry_budget_limits(settings)
         cold_limits = ColdLimits(settings.cold_rate_factor, settings.cold_rate_slack)
@@ -264,6 +265,11 @@
             self.reload()
 
     def _apply_view(self, now_s: float) -> None:
+        self.server_zones = zones_with_servers(
+            record
+            for record in self.view.backends.values()
+            if record.zone not in self.view.evacuated_zones
+        )
         if self.view.table is not None:
             self.caller_server.set_limits(self.view.table.limits)
             VERSION.set(self.view.version)
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -239,7 +239,12 @@
             spent = self.service.retry_budget.spent_fraction(self._pool.limit_share, now_s)
             failure_cost_factor = LOW_BUDGET_FAILURE_FACTOR * spent
         return self._pool.choose(
-            self._candidates(), typical_s, now_s, failure_cost_factor, is_urgent=is_urgent
+            self._candidates(),
+            typical_s,
+            now_s,
+            failure_cost_factor,
+            patience_s=self._limits.soft_deadline_s - now_s,
+            is_urgent=is_urgent,
         )
 
     def _candidates(self) -> list[Backend]:
--- a/tests/router/test_addresses.py
+++ b/tests/router/test_addresses.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from fighinge.router.addresses import MIN_ADDRESSES, RouterAddress, choose_routers
+import pytest
+
+from fighinge.router.addresses import (
+    MIN_ADDRESSES,
+    RouterAddress,
+    choose_routers,
+    zones_with_servers,
+)
+from tests.router.builders import backend_record
 
 REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2"}
 
@@ -45,3 +53,32 @@
     chosen = choose_routers(routers, "z1", {"z1": "r"})
     assert {router.host for router in chosen} == {"h2", "h3", "h4"}
     assert len(choose_routers(routers[:2], "z1", {"z1": "r"})) == 2
+
+
+@pytest.mark.parametrize(
+    ("zone", "server_zones", "expected"),
+    [
+        ("z1", {"z2", "z4"}, {"z2", "z4"}),
+        ("z2", {"z2", "z4"}, {"z2"}),
+        ("z1", {"z3"}, {"z1"}),
+        ("z1", set(), {"z1"}),
+    ],
+    ids=["no servers", "servers", "servers in another region", "unknown servers"],
+)
+def test_caller_whose_data_centre_has_no_servers_gets_the_routers_beside_them(
+    zone, server_zones, expected
+):
+    routers = _routers("z1", "z1", "z1", "z2", "z2", "z2", "z3", "z3", "z3", "z4", "z4", "z4")
+    regions = {"z1": "r1", "z2": "r1", "z3": "r2", "z4": "r1"}
+    chosen = choose_routers(routers, zone, regions, server_zones)
+    assert {router.zone for router in chosen} == expected
+    assert len(chosen) == 3 * len(expected)
+
+
+def test_data_centre_with_servers_of_few_services_counts_as_one_without():
+    records = [
+        backend_record(f"{zone}-{number}", service=f"s{number}", zone=zone)
+        for zone, services in (("z1", 10), ("z2", 9), ("z3", 1))
+        for number in range(services)
+    ]
+    assert zones_with_servers(records) == {"z1", "z2"}
--- a/tests/router/test_pool.py
+++ b/tests/router/test_pool.py
@@ -84,6 +84,48 @@
     assert pool.most_chosen(NOW_S + 20) == "i1"
 
 
+class PatientPool(PoolFixture):
+    """A pool whose requests have five times the typical latency until their soft deadline."""
+
+    def choose(self, now_s=NOW_S):
+        """Return the server that a request goes to."""
+        backends = self.pool.service("s0").backends
+        return self.pool.choose(
+            backends, TYPICAL_S, now_s, patience_s=5 * TYPICAL_S
+        ).record.instance_id
+
+
+def test_load_that_leaves_enough_time_causes_no_inter_zone_traffic():
+    pool = PatientPool()
+    slots = pool.backend("i1").record.slots
+    for _ in range(slots + 1):
+        assert pool.choose() == "i1"
+        pool.backend("i1").start_call(TYPICAL_S, NOW_S)
+
+
+def test_load_that_costs_the_time_that_is_left_goes_to_another_data_centre():
+    pool = PatientPool()
+    slots = pool.backend("i1").record.slots
+    for _ in range(4 * slots):
+        pool.backend("i1").start_call(TYPICAL_S, NOW_S)
+    assert pool.choose() != "i1"
+
+
+def test_slow_server_is_left_for_another_data_centre_in_spite_of_time_left():
+    pool = PatientPool()
+    for number in range(3):
+        pool.record("i1", answer(), took_s=6 * TYPICAL_S, now_s=NOW_S + number / 10)
+    assert pool.choose(NOW_S + 0.5) != "i1"
+
+
+def test_server_that_loses_answers_is_left_for_another_data_centre_until_it_is_reliable():
+    pool = PatientPool()
+    for _ in range(2):
+        pool.record("i1", LOST)
+    assert pool.choose(NOW_S + 0.1) != "i1"
+    assert pool.choose(NOW_S + 10.0) == "i1"
+
+
 def test_one_slow_call_does_not_cause_inter_zone_traffic():
     pool = PoolFixture()
     pool.record("i1", answer(), took_s=2 * TYPICAL_S)
