--- a/fighinge/router/http_server.py
+++ b/fighinge/router/http_server.py
@@ -13,6 +13,7 @@
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
+from fighinge.errors import ErrorKind, Failure
 from fighinge.router.exchange import Answer, CallerRequest
 
 if TYPE_CHECKING:
@@ -20,7 +21,6 @@
 
     from tornado.http1connection import HTTP1Connection
 
-    from fighinge.errors import Failure
     from fighinge.router.exchange import Codec
     from fighinge.router.model import CallerLimits
     from fighinge.router.service import RouterService
@@ -30,6 +30,8 @@
 TCPI_RTT_OFFSET_BYTES = 68  # tcpi_rtt (microseconds) in struct tcp_info, linux/tcp.h
 IDLE_CHECK_S = 0.25  # requests sent before their callers saw the close have arrived by then
 LISTEN_BACKLOG = 1024  # connections of one second, if this process cannot accept them
+RETRY_ELSEWHERE_S = 0.01  # other routers serve a request at once
+ENDED_BY_STOP = "ended by the stop of this router"  # tells it from a caller that disconnects
 MAX_HEADER_BYTES = 65_536  # the configured limit is not enforced
 MAX_BODY_BYTES = 8 * 1024 * 1024  # the configured limit is enforced when a request is routed
 
@@ -45,6 +47,8 @@
         self._sockets: list[socket.socket] = []
         self.is_draining = False
         self._is_closing = False
+        self._end_s = float("inf")
+        self._last_long_s = float("inf")
         self._was_idle = True
         self._server = HTTPServer(
             self,
@@ -76,9 +80,17 @@
         # Tornado applies its header timeout also to the wait for the next request.
         self._server.conn_params.header_timeout = limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
 
-    def start_draining(self) -> None:
-        """Close each connection after its next answer."""
+    def start_draining(self, end_s: float = float("inf")) -> None:
+        """Close each connection after its next answer.
+
+        In the second half of the time that is left, requests that may outlast it are refused, while
+        their callers can still be served by other routers.
+
+        :param end_s: time at which requests in flight have to end
+        """
         self.is_draining = True
+        self._end_s = end_s
+        self._last_long_s = (self.clock() + end_s) / 2
         self._server.conn_params.no_keep_alive = True
 
     def stop_listening(self) -> None:
@@ -121,6 +133,14 @@
         """Close the connections of further requests without an answer."""
         self._is_closing = True
 
+    async def end_requests(self) -> None:
+        """Answer the requests in flight at once, which servers may have run."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel(ENDED_BY_STOP)
+        if tasks:
+            await asyncio.wait(tasks)
+
     async def close(self) -> None:
         """Close every connection."""
         await self._server.close_all_connections()
@@ -152,10 +172,21 @@
             connection.close()
             return
         self._was_idle = False
+        if self._outlasts_stop(request):
+            failure = Failure(ErrorKind.NOT_READY, "this router stops")
+            answer = self._codec.encode_failure(failure, RETRY_ELSEWHERE_S)
+            self._write(connection, method, answer)
+            return
         task = asyncio.create_task(self._answer(connection, method, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _outlasts_stop(self, request: CallerRequest | Failure) -> bool:
+        """Return whether a request that has just arrived may still be in flight at the end."""
+        if isinstance(request, Failure) or self.clock() < self._last_long_s:
+            return False
+        return request.received_s + request.caller_timeout_s > self._end_s
+
     def start_forwarded(self, request: CallerRequest) -> asyncio.Task[Answer]:
         """Answer a request that a peer has forwarded; it counts as one of this router's own."""
         self._was_idle = False
@@ -172,10 +203,14 @@
         connection.set_close_callback(task.cancel)
         try:
             answer = await self._service.answer(request)
-        except asyncio.CancelledError:
-            if isinstance(request, CallerRequest):
-                self._service.caller_disconnected(request)
-            return
+        except asyncio.CancelledError as cancellation:
+            if ENDED_BY_STOP not in cancellation.args:
+                if isinstance(request, CallerRequest):
+                    self._service.caller_disconnected(request)
+                return
+            answer = self._codec.encode_failure(
+                Failure(ErrorKind.BACKEND_LOST, "this router stops"), None
+            )
         connection.set_close_callback(None)
         self._write(connection, method, answer)
 
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -214,13 +214,15 @@
         started_s = steady_clock()
         deadline_s = started_s + self.settings.stop_timeout_s - CLOSE_RESERVE_S
         self.log.write("stopping", unanswered=self.caller_server.unanswered)
-        self.caller_server.start_draining()
+        self.caller_server.start_draining(deadline_s)
         self.peers.membership.announce_leaving()
         await asyncio.sleep(DRAIN_DELAY_S)
         self.caller_server.stop_listening()
         is_idle = await self.caller_server.wait_until_idle(deadline_s - steady_clock())
         self.caller_server.refuse_requests()
-        self.log.write("stopped", unanswered=self.caller_server.unanswered, quiet=is_idle)
+        unanswered = self.caller_server.unanswered
+        await self.caller_server.end_requests()
+        self.log.write("stopped", unanswered=unanswered, quiet=is_idle)
         self.peers.membership.announce_departure()
         await self.caller_server.close()
         tasks = list(self._tasks)
