--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -165,6 +165,12 @@
         for member in self._sample_members(ANNOUNCEMENT_FANOUT):
             self.send(member, Gossip())
 
+    def announce_facts(self, facts: Iterable[Fact], members: Iterable[Member]) -> None:
+        """Send facts to some members at once; gossip carries them to the others."""
+        items: list[Member | Fact] = list(facts)
+        for member in members:
+            self._send_to(self._address_of(member), Gossip(), items)
+
     def announce_leaving(self) -> None:
         """Announce that this process accepts no new work."""
         self.table.update_local_member(leaving=True)
--- a/fighinge/router/crash_ledger.py
+++ b/fighinge/router/crash_ledger.py
@@ -14,6 +14,7 @@
     from fighinge.facts import Fact, FactBoard
     from fighinge.router.crash_evidence import SentCall
 
+CRASHES_TO_SUSPECT = 2  # one crash takes along requests that have nothing to do with it
 CRASHES_TO_QUARANTINE = 3  # of different servers
 ANSWERED_TTL_S = 60.0  # popular requests are answered far more often
 MAX_SERVERS = 10_000  # about a megabyte
@@ -27,12 +28,13 @@
     Answers of this router stay here unless they outweigh a crash that any router has recorded.
     """
 
-    __slots__ = ("_answered", "_board", "_requests_at")
+    __slots__ = ("_answered", "_board", "_requests_at", "last_suspect_s")
 
     def __init__(self, board: FactBoard) -> None:
         self._board = board
         self._answered = RecentKeys(ANSWERED_TTL_S, MAX_REQUESTS)
         self._requests_at: dict[str, set[str]] = {}
+        self.last_suspect_s = NEVER_S  # when a request was sent that made it suspect
         board.listen(self._record_fact)
 
     def add_crash(self, call: SentCall, now_s: float, *, is_confirmed: bool = True) -> None:
@@ -160,12 +162,16 @@
 
         Routers that do not know yet that a request was answered shortly before are told.
         """
+        if fact.kind is FactKind.QUARANTINE:
+            self.last_suspect_s = max(self.last_suspect_s, Quarantine.from_fact(fact).sent_s)
         crash = Crash.from_fact(fact) if fact.kind is FactKind.LOSS else None
         if crash is None or not crash.is_confirmed:
             return
         self._requests_at.setdefault(crash.server, set()).add(fact.key)
         if len(self._requests_at) > MAX_SERVERS:
             del self._requests_at[next(iter(self._requests_at))]
+        if count_servers(self.unanswered_crashes(fact.key, crash.sent_s)) >= CRASHES_TO_SUSPECT:
+            self.last_suspect_s = max(self.last_suspect_s, crash.sent_s)
         answered_s = self._answered.last_s((fact.key, crash.service), crash.sent_s)
         if answered_s > self._published_answers(fact.key, crash.sent_s).get(crash.service, NEVER_S):
             answer = CallAnswer(crash.service, answered_s, is_reminder=True)
--- a/fighinge/router/crash_suspects.py
+++ b/fighinge/router/crash_suspects.py
@@ -10,6 +10,7 @@
 from fighinge.router.crash_evidence import Quarantine
 from fighinge.router.crash_ledger import (
     CRASHES_TO_QUARANTINE,
+    CRASHES_TO_SUSPECT,
     NEVER_S,
     CrashLedger,
     count_servers,
@@ -24,7 +25,7 @@
     from fighinge.router.decision_log import DecisionLog
     from fighinge.router.exchange import CallerRequest
 
-CRASHES_TO_SUSPECT = 2  # one crash takes along requests that have nothing to do with it
+CANARY_DURATION_S = 5.0  # requests that crash servers come in groups, and are repeated
 CONFIRM_WINDOW_S = 3.0  # a later refused connection is a separate event
 REPLACED_WINDOW_S = 10.0  # servers start again, and are listed, some seconds after their end
 LEARNING_S = 5.0  # popular requests come to each router within this time
@@ -115,6 +116,16 @@
             return set()
         return {crash.service for crash in crashes}
 
+    def needs_canary(self, fingerprint: str, services: Collection[str], now_s: float) -> bool:
+        """Return whether a request should prove itself at one service before it goes to all.
+
+        That is so while another request has ended servers shortly before, unless this one was
+        answered recently.
+        """
+        if now_s - self._ledger.last_suspect_s > CANARY_DURATION_S:
+            return False
+        return not self._ledger.was_answered(fingerprint, services, now_s)
+
     def unanswered_since(
         self, fingerprint: str, services: Collection[str], since_s: float, now_s: float
     ) -> set[str]:
--- a/fighinge/router/gather.py
+++ b/fighinge/router/gather.py
@@ -12,6 +12,7 @@
 from fighinge.router.coverage_rule import CoverageRule, Verdict
 from fighinge.router.ended_tasks import EndedTasks
 from fighinge.router.exchange import BackendResponse, CallerRequest, MergedAnswer
+from fighinge.router.hedge_delay import hedge_delay_s
 from fighinge.router.service_call import CallLimits, ServiceCall
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
         "_excluded",
         "_gather",
         "_limits",
+        "_needs_canary",
         "_pending",
         "_pool",
         "_request",
@@ -54,7 +56,15 @@
         call_runner: CallRunner,
         clock: Callable[[], float],
         suspect_services: Collection[str] = (),
+        *,
+        needs_canary: bool = False,
     ) -> None:
+        """Initialise a query without any call.
+
+        :param suspect_services: services whose servers the request may crash, if it is suspect
+        :param needs_canary: whether one shard has to answer before the others are called
+        """
+        self._needs_canary = needs_canary
         self._request = request
         self._gather = gather
         self._limits = limits
@@ -120,20 +130,31 @@
             failure = await self._probe(shards)
             if failure is not None:
                 return failure
-        new_calls = [self._service_call(shard) for shard in shards]
-        self.calls += new_calls
-        self._pending = {
-            asyncio.create_task(call.run(), name=call.service.name) for call in new_calls
-        }
-        for task in self._pending:
-            task.add_done_callback(self._ended.add)
         try:
+            if self._needs_canary and not self._suspect_services:
+                failure = await self._send_canary(shards)
+                if failure is not None:
+                    return failure
+            for shard in shards:
+                self._start(self._service_call(shard))
             return await self._collect()
         finally:
             for task in self._pending:
                 task.cancel()
 
-    def _service_call(self, shard: Service, *, is_probe: bool = False) -> ServiceCall:
+    def _start(self, call: ServiceCall) -> None:
+        self.calls.append(call)
+        task = asyncio.create_task(call.run(), name=call.service.name)
+        task.add_done_callback(self._ended.add)
+        self._pending.add(task)
+
+    def _service_call(
+        self,
+        shard: Service,
+        *,
+        is_probe: bool = False,
+        may_hedge: Callable[[], bool] | None = None,
+    ) -> ServiceCall:
         return ServiceCall(
             self._request,
             self._limits,
@@ -141,7 +162,7 @@
             self._pool,
             self._call_runner,
             self._clock,
-            self._may_hedge,
+            may_hedge or self._may_hedge,
             partial(self._try_exclude, shard.name),
             is_probe=is_probe,
         )
@@ -171,6 +192,28 @@
                 return self._coverage_failure(self._clock())
         return None
 
+    async def _send_canary(self, shards: list[Service]) -> Failure | None:
+        """Call the shard with the most servers, and wait for its answer before the others.
+
+        A request that crashes servers then ends those of one shard. It does so soon, so that a
+        server which is only slow holds the others up no longer than until a hedge would be sent.
+
+        :param shards: the shards to call; the one that was called is removed
+        :returns: a failure if the request was lost, otherwise ``None``
+        """
+        now_s = self._clock()
+        shard = max(shards, key=lambda shard: self._pool.count_usable(shard, now_s))
+        shards.remove(shard)
+        call = self._service_call(shard, may_hedge=lambda: False)
+        self._start(call)
+        typical_s = self._call_runner.typical_latencies.typical_s(self._limits.latency_key)
+        delay_s = hedge_delay_s(typical_s, self._limits.soft_deadline_s - now_s)
+        for task in await self._ended.wait(delay_s):
+            self._handle_end(task)
+            if isinstance(task.result(), Failure) and call.may_have_run:
+                return task.result()
+        return None
+
     def wait_s(self, now_s: float) -> float | None:
         """Return the time until enough shards have a server that takes calls, if it is known.
 
@@ -192,12 +235,16 @@
             if verdict is Verdict.FAIL:
                 return self._coverage_failure(now_s)
             for task in await self._ended.wait(self._rule.next_check_s(now_s) - now_s):
-                self._pending.discard(task)
-                result = task.result()
-                if isinstance(result, BackendResponse) and result.is_success:
-                    self._responses.append(result)
-                else:
-                    self._excluded = self._excluded | {task.get_name()}
+                self._handle_end(task)
+
+    def _handle_end(self, task: asyncio.Task) -> None:
+        """Record the result of a shard."""
+        self._pending.discard(task)
+        result = task.result()
+        if isinstance(result, BackendResponse) and result.is_success:
+            self._responses.append(result)
+        else:
+            self._excluded = self._excluded | {task.get_name()}
 
     def _late_shards(self, shards: list[Service]) -> list[str]:
         """Return the shards to skip, since they would answer after the soft deadline.
--- a/fighinge/router/peers.py
+++ b/fighinge/router/peers.py
@@ -5,13 +5,13 @@
 from typing import TYPE_CHECKING
 
 from fighinge.configuration.store import ConfigurationStore
-from fighinge.facts import FactBoard
+from fighinge.facts import FactBoard, FactKind
 from fighinge.membership.member import GossipPorts, Member, MemberState, Role
 from fighinge.membership.messages import Codec
 from fighinge.membership.service import Membership
 from fighinge.membership.transport import UdpTransport
 from fighinge.ownership import rendezvous_weight
-from fighinge.router.addresses import RouterAddress, high_capacity_routers
+from fighinge.router.addresses import MAX_ADDRESSES, RouterAddress, high_capacity_routers
 
 if TYPE_CHECKING:
     import random
@@ -98,6 +98,17 @@
         """Tell the peers whether this router reaches backend servers."""
         self.membership.table.update_local_member(is_cut_off=is_cut_off)
 
+    def announce_quarantine(self, fingerprint: str, now_s: float) -> None:
+        """Tell the routers that callers use at once which request is quarantined.
+
+        Its caller repeats it at another router before gossip arrives there.
+        """
+        facts = self.board.facts(FactKind.QUARANTINE, fingerprint, now_s)
+        members = sorted(
+            self.membership.table.reachable(), key=lambda member: -member.capacity_cores
+        )
+        self.membership.announce_facts(facts, members[:MAX_ADDRESSES])
+
     def is_known(self, host: str) -> bool:
         """Return whether a router with this address is a member."""
         return any(member.host == host for member in self.membership.table.reachable())
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -239,6 +239,10 @@
             for backend in service.backends
         )
 
+    def count_usable(self, service: Service, now_s: float) -> int:
+        """Return the number of servers that take one more call."""
+        return sum(backend.is_usable(now_s) for backend in service.backends)
+
     def wait_s(self, service: Service, now_s: float, *, is_urgent: bool = True) -> float | None:
         """Return the time until a server takes a further call, as far as the servers have told.
 
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -99,7 +99,7 @@
         self._staleness = StalenessDetector(self.view, steady_clock)
         self.peers = Peers(settings, steady_clock, time.time, self._random, self._staleness)
         suspects = CrashSuspects(
-            self.peers.board, log, self._log_quarantine, started_s=steady_clock()
+            self.peers.board, log, self._handle_quarantine, started_s=steady_clock()
         )
         self.pool.listen_replaced(suspects.record_replaced)
         self._reachability = Reachability(self.pool, self.calls, log, steady_clock, self._random)
@@ -285,8 +285,9 @@
             self.log.write("overload", overloaded=self._overload.overloaded, lag_s=round(lag_s, 3))
             self.peers.membership.table.update_local_member(overloaded=self._overload.overloaded)
 
-    def _log_quarantine(self, fingerprint: str) -> None:
+    def _handle_quarantine(self, fingerprint: str) -> None:
         self.log.write("request quarantined", fingerprint=fingerprint)
+        self.peers.announce_quarantine(fingerprint, steady_clock())
 
     def _handle_pause(self, now_s: float) -> None:
         self.log.write("process was paused", version=self.view.version)
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -99,7 +99,10 @@
             return self._finish(request, route, version, _quarantined(), "")
         if self._suspect_services(request, route, fingerprint):
             return await self._answer_suspect(request, route, version, fingerprint)
-        return await self._serve(request, route, version, frozenset())
+        needs_canary = route.gather is not None and suspects.needs_canary(
+            fingerprint, route.gather.shards, self._clock()
+        )
+        return await self._serve(request, route, version, frozenset(), needs_canary=needs_canary)
 
     async def _answer_suspect(
         self, request: CallerRequest, route: Route, version: int, fingerprint: str
@@ -173,9 +176,11 @@
         route: Route,
         version: int,
         suspect_services: Collection[str],
+        *,
+        needs_canary: bool = False,
     ) -> Answer:
         """Answer a request by calls to backend servers, or by a peer if those are out of reach."""
-        call = self._new_call(request, route, suspect_services)
+        call = self._new_call(request, route, suspect_services, needs_canary=needs_canary)
         if call is None:
             failure = Failure(ErrorKind.NO_REPLICA, "the route has no target")
             return self._finish(request, route, version, failure, "")
@@ -192,7 +197,12 @@
         return answer
 
     def _new_call(
-        self, request: CallerRequest, route: Route, suspect_services: Collection[str]
+        self,
+        request: CallerRequest,
+        route: Route,
+        suspect_services: Collection[str],
+        *,
+        needs_canary: bool,
     ) -> RequestCall | None:
         """Return the calls of a request, or ``None`` if its route has no target."""
         limits = self._call_limits(route, request)
@@ -205,6 +215,7 @@
                 self._call_runner,
                 self._clock,
                 suspect_services,
+                needs_canary=needs_canary,
             )
         service = self._targets.choose(route)
         if service is None:
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -11,6 +11,7 @@
 from fighinge.errors import ErrorKind, Failure
 from fighinge.router.call_trace import describe_result, format_traces
 from fighinge.router.crash_suspects import request_fingerprint
+from fighinge.router.ended_tasks import EndedTasks
 from fighinge.router.exchange import BackendResponse
 from fighinge.router.hedge_delay import hedge_delay_s
 from fighinge.router.limited_calls import CallKind
@@ -65,6 +66,7 @@
     __slots__ = (
         "_call_runner",
         "_clock",
+        "_ended",
         "_failed_response",
         "_fingerprint",
         "_has_lost",
@@ -101,6 +103,7 @@
         self.trace: list[str] = []
         self.is_routine = True
         self._in_flight: dict[Backend, float] = {}
+        self._ended = EndedTasks()
         self._request = request
         self._fingerprint = request_fingerprint(request)
         self._limits = limits
@@ -182,10 +185,7 @@
                 kind = CallKind.RETRY if self._reached.calls_sent else CallKind.FIRST
                 self._start_call(backend, pending, now_s, kind)
             hedge_s = self._hedge_s(now_s) if len(pending) == 1 else limits.hard_deadline_s
-            timeout_s = max(0.0, min(hedge_s, limits.hard_deadline_s) - now_s)
-            done, _ = await asyncio.wait(
-                pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-            )
+            done = await self._ended.wait(min(hedge_s, limits.hard_deadline_s) - now_s)
             for task in done:
                 backend = pending.pop(task)
                 result = task.result()
@@ -217,6 +217,7 @@
             is_idempotent=limits.is_idempotent,
             kind=kind,
         )
+        call.add_done_callback(self._ended.add)
         pending[call] = backend
 
     def _next_backend(self, now_s: float) -> Backend | BackendResponse | Failure | None:
