--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -49,6 +49,8 @@
 ANTI_ENTROPY_MAX_FACTS = 8
 MAX_UNREACHABLE_PER_ROUND = 2
 LEAVE_FANOUT = 8
+MIN_NEAR_MEMBERS = 8  # with fewer, the transmissions of an item would repeat in one data centre
+NEAR_PROBABILITY = 0.75  # traffic between data centres is billed; the rest carries items across
 
 
 class StateSync(Protocol):
@@ -281,7 +283,8 @@
         while True:
             self.table.expire(self._clock())
             if len(self._queue):
-                self._gossip_to_sample(GOSSIP_FANOUT)
+                for member in self._sample_near_members(GOSSIP_FANOUT):
+                    self.send(member, Gossip())
             await asyncio.sleep(GOSSIP_INTERVAL_S * (0.9 + 0.2 * self._random.random()))
 
     async def _run_anti_entropy(self) -> None:
@@ -292,7 +295,7 @@
         """
         while True:
             message = DigestExchange(self.table.bucket_digests(), wants_reply=True)
-            targets = [self._address_of(member) for member in self._sample_members(1)]
+            targets = [self._address_of(member) for member in self._sample_near_members(1)]
             for address in [*targets, *self._sample_unreachable()]:
                 self._send_to(address, message, self._queue.next_items())
             await asyncio.sleep(ANTI_ENTROPY_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
@@ -316,6 +319,18 @@
         members = self.table.reachable()
         return self._random.sample(members, min(count, len(members)))
 
+    def _sample_near_members(self, count: int) -> list[Member]:
+        """Return random members, mostly of this data centre if it has enough to spread an item."""
+        members = self.table.reachable()
+        own = self.table.local_member.zone
+        near = [member for member in members if member.zone == own]
+        if len(near) < MIN_NEAR_MEMBERS or len(near) == len(members):
+            return self._sample_members(count)
+        far = [member for member in members if member.zone != own]
+        near_count = sum(self._random.random() < NEAR_PROBABILITY for _ in range(count))
+        chosen = self._random.sample(near, min(near_count, len(near)))
+        return chosen + self._random.sample(far, min(count - near_count, len(far)))
+
     def _address_of(self, member: Member) -> GossipAddress:
         return self._ports.address(member.role, member.host)
 
