--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -49,7 +49,8 @@
     """A :class:`BackendCalls` over persistent connections.
 
     A non-idempotent request gets a new connection: if a server closes a reused one at the moment of
-    the request, it is unknown whether the request was executed.
+    the request, it is unknown whether the request was executed. That connection is closed
+    afterwards, as no other such request would use it.
     """
 
     __slots__ = ("_pool",)
@@ -105,7 +106,7 @@
         if on_start is not None:
             on_start()
         try:
-            return await connection.send(request, remaining_s)
+            return await connection.send(request, remaining_s, may_reuse=is_idempotent)
         except asyncio.CancelledError:
             self._pool.cancel(connection, on_late_response)
             raise
--- a/fighinge/router/backend_connection.py
+++ b/fighinge/router/backend_connection.py
@@ -43,6 +43,7 @@
         "_echoed_header",
         "_late_timer",
         "_loop",
+        "_may_reuse",
         "_on_end",
         "_on_idle",
         "_on_late",
@@ -77,6 +78,7 @@
         self.usable_until_s = self._loop.time() + DEFAULT_IDLE_TIMEOUT_S
         self._transport: asyncio.Transport | None = None
         self._result: asyncio.Future[RawResponse | CallFailure] | None = None
+        self._may_reuse = True
         self._echoed_header: tuple[str, str] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._late_timer: asyncio.TimerHandle | None = None
@@ -101,12 +103,14 @@
         return self._late_timer is not None
 
     def send(
-        self, request: BackendRequest, timeout_s: float
+        self, request: BackendRequest, timeout_s: float, *, may_reuse: bool = True
     ) -> asyncio.Future[RawResponse | CallFailure]:
         """Send a request and return a future with the response or the failure.
 
         :param timeout_s: time until the complete response, in seconds
+        :param may_reuse: whether the connection may carry another request afterwards
         """
+        self._may_reuse = may_reuse
         self._parser.start(is_head=request.method == "HEAD")
         self._echoed_header = request.echoed_header
         self._result = self._loop.create_future()
@@ -199,7 +203,8 @@
         self._timer.cancel()
         parser.discard()
         self._result.set_result(response)
-        if parser.may_reuse and not parser.has_surplus and self._is_own(headers):
+        is_sound = parser.may_reuse and not parser.has_surplus and self._is_own(headers)
+        if is_sound and self._may_reuse:
             self.usable_until_s = self._loop.time() + idle_timeout_s(headers)
             self._on_idle(self)
         else:
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -102,6 +102,18 @@
     assert _run(_reply_ok, exercise) == 1
 
 
+def test_non_idempotent_requests_leave_no_connection_open():
+    """None of them would use it, so that they would fill the server's limit of connections."""
+
+    async def exercise(calls, address, server):
+        for _ in range(5):
+            await calls.call(address, POST, 1.0, is_idempotent=False)
+        await asyncio.sleep(0.05)
+        return server.opened_connections, server.open_connections
+
+    assert _run(_reply_ok, exercise) == (5, 0)
+
+
 def test_connection_is_not_reused_after_the_keep_alive_timeout():
     async def reply(_head, writer):
         writer.write(response(b"ok", Keep_Alive="timeout=1"))
