--- a/fighinge/router/http_server.py
+++ b/fighinge/router/http_server.py
@@ -13,7 +13,7 @@
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
-from fighinge.errors import ErrorKind, Failure
+from fighinge.errors import Failure
 from fighinge.router.exchange import Answer, CallerRequest
 
 if TYPE_CHECKING:
@@ -30,7 +30,6 @@
 TCPI_RTT_OFFSET_BYTES = 68  # tcpi_rtt (microseconds) in struct tcp_info, linux/tcp.h
 IDLE_CHECK_S = 0.25  # requests sent before their callers saw the close have arrived by then
 LISTEN_BACKLOG = 1024  # connections of one second, if this process cannot accept them
-RETRY_ELSEWHERE_S = 0.01  # other routers serve a request at once
 ENDED_BY_STOP = "ended by the stop of this router"  # tells it from a caller that disconnects
 MAX_HEADER_BYTES = 65_536  # the configured limit is not enforced
 MAX_BODY_BYTES = 8 * 1024 * 1024  # the configured limit is enforced when a request is routed
@@ -173,9 +172,7 @@
             return
         self._was_idle = False
         if self._outlasts_stop(request):
-            failure = Failure(ErrorKind.NOT_READY, "this router stops")
-            answer = self._codec.encode_failure(failure, RETRY_ELSEWHERE_S)
-            self._write(connection, method, answer)
+            self._write(connection, method, self._service.refuse_for_stop(request))
             return
         task = asyncio.create_task(self._answer(connection, method, request))
         self._tasks.add(task)
@@ -204,13 +201,12 @@
         try:
             answer = await self._service.answer(request)
         except asyncio.CancelledError as cancellation:
+            if not isinstance(request, CallerRequest):
+                return
             if ENDED_BY_STOP not in cancellation.args:
-                if isinstance(request, CallerRequest):
-                    self._service.caller_disconnected(request)
+                self._service.caller_disconnected(request)
                 return
-            answer = self._codec.encode_failure(
-                Failure(ErrorKind.BACKEND_LOST, "this router stops"), None
-            )
+            answer = self._service.end_for_stop(request)
         connection.set_close_callback(None)
         self._write(connection, method, answer)
 
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -32,6 +32,7 @@
 PROCESSING_S = 0.009  # a request takes 6 ms of a core and sometimes waits for another request
 LATE_REQUEST_FACTOR = 4.0  # late requests get the time that nearly all calls need
 RETRY_AFTER_NOT_READY_S = 0.3  # a starting process knows the configuration after this time
+RETRY_AFTER_STOP_S = 0.01  # other routers serve the request at once
 RETRY_AFTER_NO_REPLICA_S = 0.5  # crashed backend servers return after some seconds, others sooner
 RETRY_AFTER_OVERLOADED_S = 0.1  # a backend server's queue drains within this time
 MAX_PROBE_WAIT_S = 0.5  # a probe that is lost and the evidence of it take less
@@ -230,6 +231,17 @@
             is_probe=service in suspect_services,
         )
 
+    def refuse_for_stop(self, request: CallerRequest) -> Answer:
+        """Refuse a request that this router may not finish before it ends; it has not run."""
+        failure = Failure(ErrorKind.NOT_READY, "this router stops")
+        self._finish(request, None, self._view.version, failure, "")
+        return self._codec.encode_failure(failure, RETRY_AFTER_STOP_S)
+
+    def end_for_stop(self, request: CallerRequest) -> Answer:
+        """Answer a request in flight at the end of this router; a server may have run it."""
+        failure = Failure(ErrorKind.BACKEND_LOST, "this router stops before the answer")
+        return self._finish(request, None, self._view.version, failure, "")
+
     def caller_disconnected(self, request: CallerRequest) -> None:
         """Log that a caller has closed its connection before the answer."""
         self._log.write(
