--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -255,7 +255,8 @@
         """Restart followers whose source or peer has missed changes that other peers have."""
         for topic in self._staleness.pop_stale(now_s):
             if self.view.is_source_reachable(topic):
-                self.view.record_source_failure(topic, "a peer has newer changes", now_s)
+                since_s = self._staleness.behind_since_s(topic, now_s)
+                self.view.record_missed_changes(topic, since_s, now_s)
                 self._followers[topic].restart()
             else:
                 self._peer_follower.restart()
--- a/fighinge/router/staleness.py
+++ b/fighinge/router/staleness.py
@@ -68,6 +68,10 @@
                 stale.append(topic)
         return stale
 
+    def behind_since_s(self, topic: Topic, now_s: float) -> float:
+        """Return since when a peer has had changes that this view misses, now if none has."""
+        return self._behind_since_s.get(topic, now_s)
+
     def handle_request(self, member: Member, request: ConfigurationRequest) -> None:
         """Ignore the request: routers pass changes on over HTTP, not as chunks."""
 
--- a/fighinge/router/view.py
+++ b/fighinge/router/view.py
@@ -36,6 +36,7 @@
     """Reachability of a source, and the peer that is followed instead."""
 
     __slots__ = (
+        "answering_since_s",
         "last_answer_s",
         "reachable_since_s",
         "relay_answer_s",
@@ -46,6 +47,7 @@
     def __init__(self) -> None:
         self.last_answer_s = float("-inf")
         self.unreachable_since_s: float | None = None
+        self.answering_since_s: float | None = None  # by a peer's word, while unreachable here
         self.reachable_since_s = float("-inf")
         self.relay_answer_s = float("-inf")
         self.relay_host = ""
@@ -176,11 +178,23 @@
                 silent_s=round(now_s - source.unreachable_since_s, 3),
             )
             source.unreachable_since_s = None
-            source.reachable_since_s = now_s
+            known_s = source.answering_since_s
+            source.reachable_since_s = now_s if known_s is None else known_s
+            source.answering_since_s = None
+
+    def record_missed_changes(self, topic: Topic, since_s: float, now_s: float) -> None:
+        """Record that the source withholds changes from this router, which a peer has.
+
+        :param since_s: since when a peer has had them; the source has answered since then
+        """
+        source = self._sources[topic]
+        self.record_source_failure(topic, "a peer has newer changes", now_s)
+        source.answering_since_s = since_s
 
     def record_source_failure(self, topic: Topic, reason: str, now_s: float) -> None:
         """Record that the source of a topic did not answer."""
         source = self._sources[topic]
+        source.answering_since_s = None
         if source.unreachable_since_s is None:
             source.unreachable_since_s = now_s
             self.log.write(
@@ -294,9 +308,9 @@
         if source.unreachable_since_s is None and now_s >= removal_due_s:
             self._drop_backend(name, "unlisted")
             return
-        self._removal_due_s.setdefault(
-            name, max(removal_due_s, now_s + REMOVAL_DELAY_AFTER_OUTAGE_S)
-        )
+        if source.unreachable_since_s is not None:
+            removal_due_s = now_s + REMOVAL_DELAY_AFTER_OUTAGE_S
+        self._removal_due_s.setdefault(name, removal_due_s)
 
     def _drop_backend(self, name: str, cause: str) -> None:
         record = self.backends.pop(name, None)
--- a/tests/router/test_staleness.py
+++ b/tests/router/test_staleness.py
@@ -41,6 +41,14 @@
     assert router.staleness.pop_stale(NOW_S + STALE_AFTER_S + 0.1) == []
 
 
+def test_router_knows_since_when_a_peer_has_been_ahead():
+    router = _Router()
+    assert router.staleness.behind_since_s(Topic.BACKENDS, NOW_S + 9) == NOW_S + 9
+    router.staleness.handle_summary(PEER, _peer_summary(7))
+    router.staleness.pop_stale(NOW_S + STALE_AFTER_S)
+    assert router.staleness.behind_since_s(Topic.BACKENDS, NOW_S + 9) == NOW_S
+
+
 def test_topic_that_catches_up_is_not_stale():
     router = _Router()
     router.staleness.handle_summary(PEER, _peer_summary(7))
--- a/tests/router/test_view.py
+++ b/tests/router/test_view.py
@@ -49,6 +49,48 @@
     assert set(view.backends) == {"i1"}
 
 
+MISSED_S = NOW_S + 2  # when a peer first has changes that the watch here does not tell
+
+
+@pytest.fixture
+def late_view(view):
+    """Return a view that reads its source again, some time after a peer had newer changes."""
+    view.apply([BackendListed(backend_record("i1"))], NOW_S)
+    view.record_missed_changes(Topic.BACKENDS, MISSED_S, MISSED_S + 1.2)
+    view.record_source_answer(Topic.BACKENDS, MISSED_S + 1.3)
+    view.replace(Topic.BACKENDS, [], MISSED_S + 1.3)
+    return view
+
+
+def test_removal_after_missed_changes_is_delayed_from_the_time_at_which_a_peer_had_them(late_view):
+    late_view.expire(MISSED_S + REMOVAL_DELAY_AFTER_OUTAGE_S)
+    assert not late_view.backends
+
+
+def test_server_may_renew_its_record_after_missed_changes(late_view):
+    late_view.expire(MISSED_S + REMOVAL_DELAY_AFTER_OUTAGE_S - 0.1)
+    assert set(late_view.backends) == {"i1"}
+
+
+def test_outage_after_missed_changes_delays_a_removal_from_its_own_end(view):
+    view.apply([BackendListed(backend_record("i1"))], NOW_S)
+    view.record_missed_changes(Topic.BACKENDS, MISSED_S, MISSED_S + 1)
+    view.record_source_failure(Topic.BACKENDS, "silent", MISSED_S + 2)
+    view.record_source_answer(Topic.BACKENDS, MISSED_S + 5)
+    view.replace(Topic.BACKENDS, [], MISSED_S + 5)
+    view.expire(MISSED_S + 5 + REMOVAL_DELAY_AFTER_OUTAGE_S - 0.1)
+    assert set(view.backends) == {"i1"}
+
+
+def test_removal_that_follows_an_outage_is_not_delayed_beyond_the_time_for_renewals(view):
+    view.apply([BackendListed(backend_record("i1"))], NOW_S)
+    view.record_source_failure(Topic.BACKENDS, "silent", NOW_S + 1)
+    view.record_source_answer(Topic.BACKENDS, NOW_S + 5)
+    view.apply([BackendUnlisted("i1")], NOW_S + 7)
+    view.expire(NOW_S + 5 + REMOVAL_DELAY_AFTER_OUTAGE_S)
+    assert not view.backends
+
+
 def test_server_missing_from_a_peers_view_is_removed_at_once(view):
     view.apply([BackendListed(backend_record("i1")), BackendListed(backend_record("i2"))], NOW_S)
     view.record_source_failure(Topic.BACKENDS, "refused", NOW_S + 1)
