Log where changes of the view come from, and what a complete read found

Cause: after a request reached a leaving server, the logs could not tell whether the store had withheld the change, a peer had returned the server to the view, or its removal was delayed.

Change: 'backend server listed' has its origin (the store, or the peer that is followed); new lines 'view replaced' (origin, watermark before, published, missing) and 'backend server removal delayed' (due_in_s); new gauge fighinge_view_age_seconds by topic. The followed peer is recorded before its view is applied, so that the lines name it. No decision changes.

--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -27,6 +27,11 @@
 )
 CUT_OFF = Gauge("fighinge_cut_off", "Whether this router reaches no backend server")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
+VIEW_AGE = Gauge(
+    "fighinge_view_age_seconds",
+    "Time since the source of a topic, or the peer followed instead, last answered",
+    ("topic",),
+)
 MAX_ROUTE_LABELS = 64  # bounds the label cardinality; there may be hundreds of routes
 
 _routes: set[str] = set()
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -187,8 +187,8 @@
         topics = [topic for topic in Topic if not self._view.is_source_reachable(topic)]
         now_s = self._clock()
         for topic in topics:
-            self._view.replace(topic, content.changes(topic), now_s, from_peer=True)
             self._view.record_relay_answer(topic, peer.host, now_s)
+            self._view.replace(topic, content.changes(topic), now_s, from_peer=True)
         content.watermarks.apply_to(self._view, topics)
         sequence, newest = content.sequence, content.watermarks.newest_revision
         while self.is_needed(self._clock()):
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -23,7 +23,7 @@
 from fighinge.router.forwarding import Forwarder, forwarding_routes
 from fighinge.router.handover import Handover
 from fighinge.router.http_server import CallerServer
-from fighinge.router.metrics import ROUTERS, VERSION
+from fighinge.router.metrics import ROUTERS, VERSION, VIEW_AGE
 from fighinge.router.peer_follower import PeerFollower, ReaderRole
 from fighinge.router.peers import Peers
 from fighinge.router.pool import BackendPool
@@ -248,6 +248,8 @@
                 self.peers.limit_share(of_reaching=True),
             )
             ROUTERS.set(len(self.peers.accepting_routers()))
+            for topic in Topic:
+                VIEW_AGE.labels(topic.value).set(self.view.age_s(topic, now_s))
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
 
--- a/fighinge/router/view.py
+++ b/fighinge/router/view.py
@@ -222,6 +222,14 @@
                 change.record.instance_id for change in changes if isinstance(change, BackendListed)
             }
             removed = [BackendUnlisted(name) for name in self.backends.keys() - present]
+        self.log.write(
+            "view replaced",
+            topic=topic.value,
+            origin=self._origin(topic, from_peer),
+            watermark=self._watermarks[topic],
+            published=len(changes),
+            missing=len(removed),
+        )
         self.apply([*changes, *removed], now_s, from_peer=from_peer)
 
     def apply(self, changes: Iterable[Change], now_s: float, *, from_peer: bool = False) -> None:
@@ -232,6 +240,8 @@
         for change in changes:
             if isinstance(change, BackendUnlisted) and from_peer:
                 self._drop_backend(change.instance_id, "unlisted by a peer")
+            elif isinstance(change, BackendListed):
+                self._list_backend(change.record, self._origin(Topic.BACKENDS, from_peer))
             else:
                 self._apply_change(change, now_s)
         self._notify_listeners(now_s)
@@ -257,8 +267,6 @@
         match change:
             case TablePublished(table):
                 self._activate_table(table)
-            case BackendListed(record):
-                self._list_backend(record)
             case BackendUnlisted(name):
                 self._unlist_backend(name, now_s)
             case ZoneEvacuated(zone):
@@ -282,7 +290,11 @@
         self.routes = RouteIndex(table.routes)
         self._applied.append(TablePublished(table))
 
-    def _list_backend(self, record: BackendRecord) -> None:
+    def _origin(self, topic: Topic, from_peer: bool) -> str:
+        """Return for the log who published changes: the store, or a peer by its address."""
+        return (self._sources[topic].relay_host or "peer") if from_peer else "store"
+
+    def _list_backend(self, record: BackendRecord, origin: str) -> None:
         self._removal_due_s.pop(record.instance_id, None)
         known = self.backends.get(record.instance_id)
         if known == record:
@@ -292,6 +304,7 @@
         if known is None or known.is_draining != record.is_draining:
             self.log.write(
                 "backend server listed",
+                origin=origin,
                 backend=record.instance_id,
                 service=record.service,
                 address=f"{record.address.host}:{record.address.port}",
@@ -310,7 +323,13 @@
             return
         if source.unreachable_since_s is not None:
             removal_due_s = now_s + REMOVAL_DELAY_AFTER_OUTAGE_S
-        self._removal_due_s.setdefault(name, removal_due_s)
+        if name not in self._removal_due_s:
+            self._removal_due_s[name] = removal_due_s
+            self.log.write(
+                "backend server removal delayed",
+                backend=name,
+                due_in_s=round(removal_due_s - now_s, 3),
+            )
 
     def _drop_backend(self, name: str, cause: str) -> None:
         record = self.backends.pop(name, None)
--- a/tests/router/test_view.py
+++ b/tests/router/test_view.py
@@ -124,3 +124,24 @@
         "source lost",
         "source regained",
     ]
+
+
+def test_log_tells_who_listed_a_server_and_what_a_complete_read_found(view):
+    view.record_relay_answer(Topic.BACKENDS, "10.0.0.2", NOW_S)
+    view.apply([BackendListed(backend_record("i1"))], NOW_S, from_peer=True)
+    view.replace(Topic.BACKENDS, [BackendListed(backend_record("i2"))], NOW_S)
+    lines = view.log.lines
+    origins = {line["backend"]: line["origin"] for line in lines if line["event"].endswith("listed")}
+    (replaced,) = (line for line in lines if line["event"] == "view replaced")
+    assert origins == {"i1": "10.0.0.2", "i2": "store"}
+    assert (replaced["published"], replaced["missing"]) == (1, 1)
+
+
+def test_delay_of_a_removal_is_logged_once(view):
+    view.apply([BackendListed(backend_record("i1"))], NOW_S)
+    view.record_source_failure(Topic.BACKENDS, "silent", NOW_S + 1)
+    view.record_source_answer(Topic.BACKENDS, NOW_S + 5)
+    for _ in range(2):
+        view.replace(Topic.BACKENDS, [], NOW_S + 5)
+    delayed = [line for line in view.log.lines if line["event"] == "backend server removal delayed"]
+    assert [line["due_in_s"] for line in delayed] == [REMOVAL_DELAY_AFTER_OUTAGE_S]
