--- a/tests/router/test_view.py
+++ b/tests/router/test_view.py
@@ -131,7 +131,9 @@
     view.apply([BackendListed(backend_record("i1"))], NOW_S, from_peer=True)
     view.replace(Topic.BACKENDS, [BackendListed(backend_record("i2"))], NOW_S)
     lines = view.log.lines
-    origins = {line["backend"]: line["origin"] for line in lines if line["event"].endswith("listed")}
+    origins = {
+        line["backend"]: line["origin"] for line in lines if line["event"].endswith("listed")
+    }
     (replaced,) = (line for line in lines if line["event"] == "view replaced")
     assert origins == {"i1": "10.0.0.2", "i2": "store"}
     assert (replaced["published"], replaced["missing"]) == (1, 1)
