Name no server by an entry of another writer that is nested, too large or without a usable address

Cause: a record was taken as valid if its JSON had the right types. Nesting deeper than the recursion limit raises RecursionError in the decoder, which is no DecodeError, and ended the task that follows the store, and so the process. Integers beyond 64 bits were accepted, and then could not be encoded for the routers that follow this one. Ports and hosts were not checked.

Change: one list of errors means 'unreadable', for records, the configuration and the store's responses; numbers have bounds, addresses are IPv4 with a port from 1 to 65535, identifiers can be sent in a header. An invalid record is logged with its reason ('published value unreadable'); it names no server, as before.

In test_invalid_server_record_counts_as_removed the comparison with BackendUnlisted became its parts, and asks for a reason as well.

--- a/fighinge/platform/records.py
+++ b/fighinge/platform/records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Literal
 
 import msgspec
@@ -31,8 +33,17 @@
 CONFIG_KEY = "op/config"
 EVACUATE_PREFIX = "op/evacuate/"
 
+MAX_INTEGER = 2**63 - 1  # messages between routers hold no larger ones
+MAX_SLOTS = 1_000_000
+MAX_COLD_LEFT_MS = 86_400_000.0
+MAX_PORT = 65_535
+# Nesting deeper than the interpreter's recursion limit is no DecodeError.
+UNREADABLE_ERRORS = (msgspec.DecodeError, RecursionError, ValueError)
+
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+_INSTANCE_ID_PATTERN = re.compile(r"[!-~]{1,200}")  # sent as a header
+_ADDRESS_PATTERN = re.compile(r"([0-9.]+):([0-9]{1,5})")
 
 
 class _Record(msgspec.Struct, rename="kebab"):
@@ -111,7 +122,7 @@
 
 
 class _Config(_Record):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -129,10 +140,10 @@
     address: Text
     zone: Text
     state: Literal["ready", "draining"]
-    slots: Annotated[int, msgspec.Meta(ge=1)]
-    seq: int
-    cold_left_ms: Milliseconds = 0
-    born: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    seq: Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_LEFT_MS)] = 0
+    born: Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)] = 0
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -162,7 +173,7 @@
 def _decode_config(key: str, value: bytes) -> Change:
     try:
         config = _config_decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Unreadable(key, str(error))
     services = {service.name: service.decode() for service in config.services}
     routes = tuple(route.decode() for route in config.routes)
@@ -171,14 +182,13 @@
 
 def _decode_server(instance_id: str, value: bytes) -> Change:
     """Return the change for a backend server's record; an invalid one counts as removed."""
+    if not _INSTANCE_ID_PATTERN.fullmatch(instance_id):
+        return BackendUnlisted(instance_id, "its identifier must be 1 to 200 visible characters")
     try:
         record = _server_decoder.decode(value)
-        host, _, port = record.address.rpartition(":")
-        address = Address(host, int(port))
-    except (msgspec.DecodeError, ValueError):
-        return BackendUnlisted(instance_id)
-    if not host:
-        return BackendUnlisted(instance_id)
+        address = _parse_address(record.address)
+    except UNREADABLE_ERRORS as error:
+        return BackendUnlisted(instance_id, str(error))
     return BackendListed(
         BackendRecord(
             instance_id=instance_id,
@@ -191,3 +201,21 @@
             started_ms=record.born,
         )
     )
+
+
+def _parse_address(text: str) -> Address:
+    """Return the address of a backend server.
+
+    :raises ValueError: if a server cannot listen on it
+    """
+    match = _ADDRESS_PATTERN.fullmatch(text)
+    if match is None:
+        raise ValueError("address must be an IPv4 address and a port")
+    host, port = match[1], int(match[2])
+    try:
+        IPv4Address(host)
+    except AddressValueError as error:
+        raise ValueError(f"address: {error}") from error
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"address: the port must be 1 to {MAX_PORT}")
+    return Address(host, port)
--- a/fighinge/platform/store.py
+++ b/fighinge/platform/store.py
@@ -18,6 +18,7 @@
 from fighinge.platform.records import (
     OPERATOR_PREFIX,
     SERVERS_PREFIX,
+    UNREADABLE_ERRORS,
     decode_delete,
     decode_put,
 )
@@ -128,7 +129,7 @@
             return _failure(f"the store returned status {response.code}")
         try:
             return msgspec.json.decode(response.body, type=message_type)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             return _failure(f"the store's response cannot be decoded: {error}")
 
 
--- a/fighinge/router/changes.py
+++ b/fighinge/router/changes.py
@@ -23,9 +23,13 @@
 
 
 class BackendUnlisted(msgspec.Struct, frozen=True, tag=True):
-    """A backend server's record was removed or is no longer valid."""
+    """A backend server's record was removed or is no longer valid.
+
+    ``reason`` tells why a published record is invalid; it is empty if the record was removed.
+    """
 
     instance_id: str
+    reason: str = ""
 
 
 class ZoneEvacuated(msgspec.Struct, frozen=True, tag=True):
--- a/fighinge/router/view.py
+++ b/fighinge/router/view.py
@@ -238,6 +238,8 @@
         :param from_peer: whether they come from a peer that reaches the source
         """
         for change in changes:
+            if isinstance(change, BackendUnlisted) and change.reason:
+                self._log_unreadable(change.instance_id, change.reason)
             if isinstance(change, BackendUnlisted) and from_peer:
                 self._drop_backend(change.instance_id, "unlisted by a peer")
             elif isinstance(change, BackendListed):
@@ -274,7 +276,10 @@
             case ZoneReturned(zone):
                 self._set_zone(zone, is_evacuated=False)
             case Unreadable(key, reason):
-                self.log.write("published value unreadable", key=key, reason=reason)
+                self._log_unreadable(key, reason)
+
+    def _log_unreadable(self, key: str, reason: str) -> None:
+        self.log.write("published value unreadable", key=key, reason=reason)
 
     def _activate_table(self, table: RoutingTable) -> None:
         if table.version <= self.version:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -15,18 +15,8 @@
     ZoneEvacuated,
     ZoneReturned,
 )
+from tests.platform.odd_records import DEEPLY_NESTED, SERVER, UNUSABLE_SERVER_RECORDS, server_record
 
-SERVER = {
-    "service": "huvo11a",
-    "address": "10.128.0.9:8080",
-    "zone": "sa-east",
-    "version": "v1",
-    "slots": 4,
-    "state": "ready",
-    "cold-left-ms": 1500,
-    "seq": 4,
-    "born": 1764800000000,
-}
 CONFIG = {
     "version": 7,
     "routes": [
@@ -56,13 +46,8 @@
 }
 
 
-def _server(**changes):
-    raw = SERVER | changes
-    return msgspec.json.encode({name: value for name, value in raw.items() if value is not None})
-
-
 def test_backend_server_record_is_decoded():
-    change = decode_put("servers/i-1", _server())
+    change = decode_put("servers/i-1", server_record())
     assert isinstance(change, BackendListed)
     assert change.record.instance_id == "i-1"
     assert change.record.address == Address("10.128.0.9", 8080)
@@ -72,7 +57,7 @@
 
 
 def test_draining_backend_server_is_recognised():
-    assert decode_put("servers/i-1", _server(state="draining")).record.is_draining
+    assert decode_put("servers/i-1", server_record(state="draining")).record.is_draining
 
 
 @pytest.mark.parametrize(
@@ -82,19 +67,34 @@
         b"\xff\x00",
         b"[]",
         b"null",
-        _server(service=None),
-        _server(service=5),
-        _server(address="nowhere"),
-        _server(address=":80"),
-        _server(state="asleep"),
-        _server(slots="many"),
-        _server(slots=0),
-        _server(zone=None),
-        _server(**{"cold-left-ms": "soon"}),
+        server_record(service=None),
+        server_record(service=5),
+        server_record(address="nowhere"),
+        server_record(address=":80"),
+        server_record(state="asleep"),
+        server_record(slots="many"),
+        server_record(slots=0),
+        server_record(zone=None),
+        server_record(**{"cold-left-ms": "soon"}),
+        *UNUSABLE_SERVER_RECORDS,
     ],
 )
 def test_invalid_server_record_counts_as_removed(value):
-    assert decode_put("servers/i-1", value) == BackendUnlisted("i-1")
+    change = decode_put("servers/i-1", value)
+    assert isinstance(change, BackendUnlisted)
+    assert change.instance_id == "i-1" and change.reason
+
+
+@pytest.mark.parametrize("instance_id", ["", "i 1", "i-\r\nX-Other: 1", "ü", "i" * 201])
+def test_server_record_whose_key_cannot_be_sent_names_noserver_record(instance_id):
+    change = decode_put(f"servers/{instance_id}", server_record())
+    assert change == BackendUnlisted(instance_id, change.reason) and change.reason
+
+
+@pytest.mark.parametrize("version", [DEEPLY_NESTED, b"1" + b"0" * 30, b"1e999", b"-1"])
+def test_unusable_configuration_is_reported(version):
+    raw = msgspec.json.encode(CONFIG).replace(b'"version":7', b'"version":' + version, 1)
+    assert isinstance(decode_put("op/config", raw), Unreadable)
 
 
 def test_configuration_is_decoded():
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,7 +15,7 @@
 from fighinge.router.follower import Follower
 from fighinge.router.view import Topic, View
 from standins.store import ITEMS_PER_PAGE, StandinStore
-from tests.platform.test_records import SERVER
+from tests.platform.odd_records import SERVER, UNUSABLE_SERVER_RECORDS, server_record
 from tests.router.builders import MemoryLog
 
 
@@ -131,3 +131,21 @@
         return True
 
     assert _follow(work)
+
+
+def test_odd_records_of_another_writer_leave_the_other_servers_in_use():
+    async def work(store, view):
+        await store.put("servers/i-1", server_record())
+        await _until(lambda: set(view.backends) == {"i-1"})
+        for number, value in enumerate(UNUSABLE_SERVER_RECORDS):
+            await store.put(f"servers/odd-{number}", value)
+        await store.put("servers/ü", server_record())
+        await store.put("servers/i-2", server_record())
+        await _until(lambda: set(view.backends) == {"i-1", "i-2"})
+        await store.compact()
+        await store.put("servers/i-3", server_record())
+        await _until(lambda: set(view.backends) == {"i-1", "i-2", "i-3"})
+        unreadable = [line for line in view.log.lines if line["event"].endswith("unreadable")]
+        return len({line["key"] for line in unreadable})
+
+    assert _follow(work) == len(UNUSABLE_SERVER_RECORDS) + 1
