Report an address that cannot be connected to as a server that is not connected

A request that chose a server with the port 99999 got no answer at all, and a check of the links to such a server ended the process (by reading).

Cause: connect() raises OverflowError for such a port, and only OSError was taken as a failure. Evidence: test_address_that_cannot_be_connected_to_is_reported_as_not_connected, two cases, failed before with that OverflowError.

--- a/fighinge/router/connection_pool.py
+++ b/fighinge/router/connection_pool.py
@@ -117,6 +117,9 @@
         except OSError as error:  # includes a timeout
             opened.close()
             return error
+        except (OverflowError, ValueError) as error:  # an unusable address, e.g. from an older peer
+            opened.close()
+            return OSError(str(error))
         except BaseException:
             opened.close()
             raise
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -270,6 +270,18 @@
     assert _run(_reply_ok, exercise).fault is CallFault.NOT_CONNECTED
 
 
+@pytest.mark.parametrize("port", [99_999, -1])
+def test_address_that_cannot_be_connected_to_is_reported_as_not_connected(port):
+    async def exercise(calls, address, server):
+        unusable = Address("127.0.0.1", port)
+        call = await calls.call(unusable, GET, 1.0, is_idempotent=True)
+        return call, await calls.refuses_connections(unusable)
+
+    failure, is_refused = _run(_reply_ok, exercise)
+    assert failure.fault is CallFault.NOT_CONNECTED
+    assert not is_refused
+
+
 def test_missing_answer_is_reported_as_timeout():
     async def reply(_head, writer):
         await asyncio.sleep(5)
