Read everything anew after an older view of a peer was applied

Cause: a router that loses the store copies a peer's view, which may be older than its own: the peer batches changes for 0.4 s, or its own watch is withheld. When the store answered again, the watch went on from this router's own revision, which never repeats what the peer's view undid. Answers of the peer that came after the store's return were applied too, to topics that this router reads itself.

Change: the first answer of a watch after a peer's view was applied leads to a complete read. Changes of a peer count only for the topics for which it is followed, and no longer once the store answers; if another topic is lost, the peer's whole view is read again.

--- a/fighinge/router/follower.py
+++ b/fighinge/router/follower.py
@@ -30,6 +30,7 @@
     """Reads a source once, then watches it; reads again if the source has lost its history."""
 
     __slots__ = (
+        "_answered_s",
         "_backoff_s",
         "_call",
         "_clock",
@@ -57,6 +58,7 @@
         self._clock = clock
         self._random = random_source
         self._revision: int | None = None
+        self._answered_s = float("-inf")
         self._backoff_s = MIN_BACKOFF_S
         self._call = CancellableCall()
 
@@ -99,6 +101,10 @@
         if isinstance(changes, Failure):
             await self._handle_failure(changes, now_s)
             return
+        if self._view.was_relayed_since(self._topic, self._answered_s):
+            # The peer's view may be older, and this watch does not repeat what it undid.
+            self._revision = None
+            return
         self._record_success(now_s)
         self._view.apply(changes.changes, now_s)
         self._view.advance(self._topic, changes.revision, changes.last_change)
@@ -113,6 +119,7 @@
 
     def _record_success(self, now_s: float) -> None:
         self._backoff_s = MIN_BACKOFF_S
+        self._answered_s = now_s
         self._view.record_source_answer(self._topic, now_s)
 
     async def _handle_failure(self, failure: Failure, now_s: float) -> None:
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -18,7 +18,7 @@
 )
 from fighinge.router.cancellable_call import CancellableCall
 from fighinge.router.relay import CHANGES_PATH, VIEW_PATH, PeerChanges, PeerView
-from fighinge.router.view import Topic
+from fighinge.router.view import Topic, topic_of
 
 if TYPE_CHECKING:
     import random
@@ -184,31 +184,36 @@
         content = await self._fetch(peer, VIEW_PATH, RESPONSE_TIMEOUT_S, PeerView)
         if content is None:
             return
-        topics = [topic for topic in Topic if not self._view.is_source_reachable(topic)]
+        topics = self._unreachable_topics()
         now_s = self._clock()
         for topic in topics:
             self._view.record_relay_answer(topic, peer.host, now_s)
             self._view.replace(topic, content.changes(topic), now_s, from_peer=True)
         content.watermarks.apply_to(self._view, topics)
         sequence, newest = content.sequence, content.watermarks.newest_revision
-        while self.is_needed(self._clock()):
+        while self.is_needed(self._clock()) and self._unreachable_topics() == topics:
             query = (
                 f"?epoch={content.epoch}&after={sequence}&newest={newest}"
                 f"&wait_s={LONG_POLL_TIMEOUT_S}"
             )
             timeout_s = LONG_POLL_TIMEOUT_S + RESPONSE_TIMEOUT_S
             changes = await self._fetch(peer, CHANGES_PATH + query, timeout_s, PeerChanges)
-            if changes is None:
-                break
+            if changes is None or self._unreachable_topics() != topics:
+                break  # the peer may be behind a source that answers this router again
             sequence, newest = changes.sequence, changes.watermarks.newest_revision
             now_s = self._clock()
-            self._view.apply(changes.changes, now_s, from_peer=True)
+            followed = [change for change in changes.changes if topic_of(change) in topics]
+            self._view.apply(followed, now_s, from_peer=True)
             changes.watermarks.apply_to(self._view, topics)
             for topic in topics:
                 self._view.record_relay_answer(topic, peer.host, now_s)
         for topic in topics:
             self._view.record_relay_failure(topic, self._clock())
 
+    def _unreachable_topics(self) -> list[Topic]:
+        """Return the topics whose source this router does not reach or read."""
+        return [topic for topic in Topic if not self._view.is_source_reachable(topic)]
+
     async def _fetch(self, peer: Member, path: str, timeout_s: float, message_type: type):
         """Return a peer's decoded response, or ``None`` if the request failed."""
         request = HTTPRequest(
--- a/fighinge/router/view.py
+++ b/fighinge/router/view.py
@@ -32,6 +32,12 @@
     BACKENDS = "backends"
 
 
+def topic_of(change: Change) -> Topic:
+    """Return the topic that a change belongs to."""
+    is_of_backends = isinstance(change, BackendListed | BackendUnlisted)
+    return Topic.BACKENDS if is_of_backends else Topic.CONFIGURATION
+
+
 class _SourceState:
     """Reachability of a source, and the peer that is followed instead."""
 
@@ -141,6 +147,10 @@
         source = self._sources[topic]
         return now_s - max(source.last_answer_s, source.relay_answer_s)
 
+    def was_relayed_since(self, topic: Topic, since_s: float) -> bool:
+        """Return whether a peer's view of a topic was applied later than at a time."""
+        return self._sources[topic].relay_answer_s > since_s
+
     def record_relay_answer(self, topic: Topic, peer: str, now_s: float) -> None:
         """Record that a peer that reaches the source is followed for a topic."""
         source = self._sources[topic]
--- a/tests/router/test_follower.py
+++ b/tests/router/test_follower.py
@@ -23,6 +23,14 @@
 TIMED_OUT = Failure(ErrorKind.NOT_READY, "timed out", "platform store")
 
 
+async def _until(condition):
+    for _ in range(1000):
+        if condition():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("the condition was not met in time")
+
+
 class SilentSource:
     """Fails the first watch, and answers each later one only after its timeout.
 
@@ -106,3 +114,44 @@
         return set(view.backends)
 
     assert run(follow()) == set()
+
+
+class InterruptedSource:
+    """Tells in its first watch that a server has left, and fails the second watch."""
+
+    def __init__(self) -> None:
+        self._watches = 0
+        self._records = [BackendListed(backend_record("i1"))]
+
+    async def read_all(self):
+        """Return the records of all servers."""
+        return Snapshot(1 + self._watches, tuple(self._records), 1)
+
+    async def watch(self, after_revision, wait_s):
+        """Remove the server in the first watch, and return nothing in later ones."""
+        self._watches += 1
+        if self._watches == 1:
+            self._records.clear()
+            return Changes(2, (BackendUnlisted("i1"),), 2)
+        await asyncio.sleep(wait_s)
+        return TIMED_OUT if self._watches == 2 else Changes(2, ())
+
+
+def test_server_that_an_older_view_of_a_peer_returned_does_not_stay_in_use():
+    async def follow():
+        view = View(MemoryLog())
+        clock = asyncio.get_running_loop().time
+        follower = Follower(InterruptedSource(), Topic.BACKENDS, view, clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await _until(lambda: view.is_source_reachable(Topic.BACKENDS))
+        await _until(lambda: not view.is_source_reachable(Topic.BACKENDS))
+        view.record_relay_answer(Topic.BACKENDS, "10.0.0.2", clock())
+        view.replace(Topic.BACKENDS, [BackendListed(backend_record("i1"))], clock(), from_peer=True)
+        view.record_relay_failure(Topic.BACKENDS, clock())
+        before = set(view.backends)
+        await asyncio.sleep(STABILITY_WINDOW_S)
+        view.expire(clock())
+        task.cancel()
+        return before, set(view.backends)
+
+    assert run(follow()) == ({"i1"}, set())
