Let the store fall silent after changes in the soak, and servers leave once it is stable

The soak's store was silent at random moments, and servers left only while other faults were injected, so that nothing checked that a leaving is heeded in time after a silence. New faults: a silence right after a change, unusable records of another writer. At the end of each seed, with the store stable, one server says that it leaves and the record of another one is removed; requests that callers send more than 3 s later must not reach them. Earlier seeds are repeated without these, so that they play the same faults. The stand-in links rewrite the records of the fleet's own servers only.

--- a/tests/platform/partition_fleet.py
+++ b/tests/platform/partition_fleet.py
@@ -66,9 +66,11 @@
         return f"127.{self.network}.20.{number + 1}"
 
     def _rewrite(self, caller: str, item: dict) -> dict:
-        """Replace the address in a server's record by that of the caller's link."""
+        """Replace the address in the record of a server by that of the caller's link."""
         numbers = [number for number in self._links if self.address(number) == caller]
-        if not numbers or not item["key"].startswith("servers/") or "value" not in item:
+        instance_id = item["key"].removeprefix("servers/")
+        is_own = any(server.instance_id == instance_id for server in self.servers)
+        if not numbers or not is_own or "value" not in item:
             return item
         record = msgspec.json.decode(base64.b64decode(item["value"]))
         port = record["address"].rpartition(":")[2]
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -32,6 +32,12 @@
 from tests.platform.guarantees import RecordedExchange, violations
 from tests.platform.soak_fleet import SoakFleet
 from tests.platform.statement_rules import Disturbance, StatementRules
+from tests.platform.store_faults import (
+    DRAIN_S,
+    LateLeaving,
+    silence_after_change,
+    write_odd_record,
+)
 
 FAULT_PHASE_S = 8.0  # overlapping faults are injected for this time, then all are cleared
 RECOVERY_S = 5.0  # after the last fault; a failed router is suspected for up to 6 s, less one probe
@@ -75,6 +81,7 @@
         has_limits: bool = True,
         has_partitions: bool = True,
         has_turning: bool = True,
+        has_store_faults: bool = True,
     ) -> None:
         self._fleet = fleet
         self._random = random.Random(seed)
@@ -83,6 +90,8 @@
         self._has_limits = has_limits
         self._has_partitions = has_partitions
         self._has_turning = has_turning
+        self._has_store_faults = has_store_faults
+        self._late_leaving = LateLeaving(fleet, self._random)
         self._exchanges: list[RecordedExchange] = []
         self._injected_faults: list[str] = []
         self._disturbances: list[Disturbance] = []
@@ -110,6 +119,9 @@
         await asyncio.gather(*tasks)
         await self._clear_faults()
         await asyncio.sleep(RECOVERY_S)
+        if self._has_store_faults:
+            await self._late_leaving.start(self._clock())
+            await asyncio.sleep(DRAIN_S)
         before = len(self._exchanges)
         await asyncio.sleep(1.5)
         after = self._exchanges[before:]
@@ -120,6 +132,7 @@
         found = violations(self._exchanges, self._fleet.runs, SHARDS)
         rules = StatementRules(self._exchanges, self._fleet.events, self._disturbances)
         found += rules.violations() + self._unexpected_ends
+        found += self._late_leaving.violations(self._exchanges, self._fleet.events.arrivals)
         return Outcome(
             self._seed, self._injected_faults, found, self._known_red, statuses, round(served, 3)
         )
@@ -176,6 +189,8 @@
             faults += (self._partition, self._partition)
         if self._has_turning:
             faults += (self._turn_harmful, self._turn_harmful)
+        if self._has_store_faults:
+            faults += (self._silence, self._silence, self._silence, self._odd_record)
         fault = self._random.choice(faults)
         length_s = self._random.uniform(0.3, 2.0)
         number = self._random.randrange(len(self._fleet.processes))
@@ -258,6 +273,12 @@
     async def _history(self, _number: int, _length_s: float) -> None:
         await self._fleet.store.compact()
 
+    async def _silence(self, _number: int, length_s: float) -> None:
+        await silence_after_change(self._fleet, length_s)
+
+    async def _odd_record(self, _number: int, _length_s: float) -> None:
+        await write_odd_record(self._fleet, self._random)
+
     async def _proxy(self, _number: int, length_s: float) -> None:
         started_s = self._clock()
         at = self._random.randrange(len(self._fleet.proxies))
@@ -398,6 +419,7 @@
     has_limits: bool = True,
     has_partitions: bool = True,
     has_turning: bool = True,
+    has_store_faults: bool = True,
 ) -> Outcome:
     """Run one seed on a new fleet.
 
@@ -407,6 +429,8 @@
     :param has_limits: whether servers also name limits
     :param has_partitions: whether routers are also cut off from all servers
     :param has_turning: whether requests that were answered before also end servers
+    :param has_store_faults: whether the store also falls silent after changes and has odd records,
+        and servers leave at the end
     """
     network = FIRST_NETWORK + seed % NETWORK_COUNT
     fleet = SoakFleet(directory, network, routers, has_links=has_partitions)
@@ -419,6 +443,7 @@
             has_limits=has_limits,
             has_partitions=has_partitions,
             has_turning=has_turning,
+            has_store_faults=has_store_faults,
         ).run()
     finally:
         await fleet.stop()
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -17,6 +17,7 @@
     5104,  # failed: a popular request was refused by a router that had just started
     8223,  # failed: a popular request was refused while the router that probes it was down
 )
+STORE_SEEDS = (10, 11)
 FAILED_SEEDS = (  # (seed, whether servers had faults of their own, cause) of each seed that failed
     (
         403,
@@ -30,17 +31,32 @@
 
 
 @pytest.mark.parametrize(
-    ("seed", "has_server_faults", "has_limits", "has_partitions", "has_turning"),
+    (
+        "seed",
+        "has_server_faults",
+        "has_limits",
+        "has_partitions",
+        "has_turning",
+        "has_store_faults",
+    ),
     [
-        *((seed, True, False, False, False) for seed in SHORT_SEEDS),
-        *((seed, True, True, False, False) for seed in LIMIT_SEEDS),
-        *((seed, True, True, True, False) for seed in PARTITION_SEEDS),
-        *((seed, True, True, True, True) for seed in TURNING_SEEDS),
-        *((*case[:2], False, False, False) for case in FAILED_SEEDS),
+        *((seed, True, False, False, False, False) for seed in SHORT_SEEDS),
+        *((seed, True, True, False, False, False) for seed in LIMIT_SEEDS),
+        *((seed, True, True, True, False, False) for seed in PARTITION_SEEDS),
+        *((seed, True, True, True, True, False) for seed in TURNING_SEEDS),
+        *((seed, True, True, True, True, True) for seed in STORE_SEEDS),
+        *((*case[:2], False, False, False, False) for case in FAILED_SEEDS),
     ],
 )
 def test_seed_violates_no_guarantee(
-    seed, has_server_faults, has_limits, has_partitions, has_turning, tmp_path, capsys
+    seed,
+    has_server_faults,
+    has_limits,
+    has_partitions,
+    has_turning,
+    has_store_faults,
+    tmp_path,
+    capsys,
 ):
     outcome = asyncio.run(
         run_seed(
@@ -50,6 +66,7 @@
             has_limits=has_limits,
             has_partitions=has_partitions,
             has_turning=has_turning,
+            has_store_faults=has_store_faults,
         )
     )
     with capsys.disabled():
