Order revisions by the store's era, and keep what a restored copy lacks

Cause: revisions go back and are given out again; nothing read the header Store-Era. A watch that went on from a revision of the old era missed all changes of the new one up to that revision, and the check of missed changes kept the higher watermark of the old era.

Change: era and number form one ordered integer, made where the store's answers are decoded; watch, watermarks, gossip and the views of peers compare it. Messages keep the plain numbers and carry eras in further fields, which routers of before ignore. An answer of a later era leads to a complete read. Servers and evacuations that the copy lacks hold for 2.5 s; a server that was removed before is not used because the copy lists it.

--- a/fighinge/membership/messages.py
+++ b/fighinge/membership/messages.py
@@ -31,12 +31,13 @@
     """The active configuration version of a member.
 
     ``confirmed`` is whether the member has confirmed the version with its peers or the
-    platform.
+    platform. ``eras`` are those of the revisions in the digest of a router.
     """
 
     version: NonNegativeInt = 0
     digest: Digest = b""
     confirmed: bool = False
+    eras: Annotated[tuple[NonNegativeInt, ...], msgspec.Meta(max_length=2)] = ()
 
 
 class FactRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/fighinge/platform/store.py
+++ b/fighinge/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
 import msgspec
@@ -23,6 +24,10 @@
     decode_put,
 )
 from fighinge.router.changes import Change, Changes, HistoryLost, Snapshot
+from fighinge.router.revisions import era_of, number_of, ordered_revision
+
+if TYPE_CHECKING:
+    import pycurl
 
 CONNECT_TIMEOUT_S = 0.5  # a connection within a region takes some milliseconds
 READ_TIMEOUT_S = 1.5  # 300 times the store's usual 4 ms
@@ -30,6 +35,8 @@
 MAX_CONCURRENT_CALLS = 4  # a read and a watch for each of two prefixes
 MAX_PAGES = 200  # 200 pages of 50 items exceed the largest planned fleet
 PREFIXES = (OPERATOR_PREFIX, SERVERS_PREFIX)
+ERA_HEADER = "Store-Era"
+MAX_ERA = 2**15 - 1  # an ordered revision then fits into 63 bits
 
 
 class _Item(msgspec.Struct, rename="kebab"):
@@ -57,6 +64,27 @@
     store_revision: int
 
 
+class _EraReader:
+    """Reads the store's era from the headers of one response."""
+
+    __slots__ = ("era",)
+
+    def __init__(self) -> None:
+        self.era = 0
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Set the options of a call of the store."""
+        enable_keepalive_probes(curl)
+        curl.setopt(curl.HEADERFUNCTION, self._read_line)
+
+    def _read_line(self, line: bytes) -> None:
+        name, _, value = line.decode("latin-1").partition(":")
+        if name.strip().lower() == ERA_HEADER.lower():
+            text = value.strip()
+            is_number = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_ERA))
+            self.era = min(int(text), MAX_ERA) if is_number else 0
+
+
 class PlatformStore:
     """A :class:`~fighinge.router.changes.ViewSource` that reads one prefix of the store."""
 
@@ -88,16 +116,20 @@
         then repeats the changes made while the other pages were read.
         """
         items: list[_Item] = []
-        revision = None
+        first_revision = 0
+        first_era: int | None = None
         query = {"prefix": self._prefix}
         for _ in range(MAX_PAGES):
-            page = await self._get("/v1/kv-range", query, READ_TIMEOUT_S, _Range)
+            page, era = await self._get("/v1/kv-range", query, READ_TIMEOUT_S, _Range)
             if isinstance(page, Failure | HistoryLost):
                 return page if isinstance(page, Failure) else _failure(page.reason)
-            revision = page.store_revision if revision is None else revision
+            if first_era is None:
+                first_era, first_revision = era, ordered_revision(era, page.store_revision)
+            if era != first_era:
+                return _failure("the store was restored while it was read")
             items.extend(page.items)
             if not page.has_more or not page.items:
-                return Snapshot(revision, _decode(items), _last_change(items))
+                return Snapshot(first_revision, _decode(items), _last_change(items, era))
             query["after"] = page.items[-1].key
         return _failure(f"more than {MAX_PAGES} pages under {self._prefix}")
 
@@ -105,22 +137,42 @@
         """Return the changes under the prefix after a revision."""
         query = {
             "prefix": self._prefix,
-            "after": str(after_revision),
+            "after": str(number_of(after_revision)),
             "wait-ms": str(round(1000 * wait_s)),
         }
-        events = await self._get("/v1/kv-watch", query, wait_s + WATCH_RESPONSE_TIMEOUT_S, _Events)
+        timeout_s = wait_s + WATCH_RESPONSE_TIMEOUT_S
+        events, era = await self._get("/v1/kv-watch", query, timeout_s, _Events)
+        if era > era_of(after_revision):
+            return HistoryLost(f"the store was restored from a copy, era {era}", is_restored=True)
         if isinstance(events, Failure | HistoryLost):
             return events
-        return Changes(events.store_revision, _decode(events.events), _last_change(events.events))
-
-    async def _get(self, path: str, query: dict[str, str], timeout_s: float, message_type):
+        if era != era_of(after_revision):
+            return _failure(f"the store's response is of an earlier era, {era}")
+        revision = ordered_revision(era, events.store_revision)
+        return Changes(revision, _decode(events.events), _last_change(events.events, era))
+
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float, message_type
+    ) -> tuple[object, int]:
+        """Return the decoded response, or why there is none, and the store's era."""
+        reader = _EraReader()
+        return await self._fetch(path, query, timeout_s, message_type, reader), reader.era
+
+    async def _fetch(
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float,
+        message_type: type,
+        reader: _EraReader,
+    ):
         self.calls += 1
         request = HTTPRequest(
             f"{self._url}{path}?{urlencode(query, safe='/')}",
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=timeout_s,
         )
-        response = await fetch_once(self._client, request, prepare=enable_keepalive_probes)
+        response = await fetch_once(self._client, request, prepare=reader.prepare)
         if isinstance(response, TransferFailure):
             return _failure(response.reason)
         if response.code == 410:
@@ -138,8 +190,9 @@
     return tuple(change for change in changes if change is not None)
 
 
-def _last_change(items: list[_Item]) -> int:
-    return max((item.revision for item in items), default=0)
+def _last_change(items: list[_Item], era: int) -> int:
+    """Return the revision of the latest change, 0 if there is none."""
+    return max((ordered_revision(era, item.revision) for item in items), default=0)
 
 
 def _failure(reason: str) -> Failure:
--- a/fighinge/router/changes.py
+++ b/fighinge/router/changes.py
@@ -57,7 +57,7 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """Everything that is published as of a revision.
+    """Everything that is published as of a revision, see :mod:`fighinge.router.revisions`.
 
     ``last_change`` is the revision of the latest change, which may be lower than ``revision``.
     """
@@ -76,9 +76,13 @@
 
 
 class HistoryLost(msgspec.Struct, frozen=True):
-    """Returned if the source no longer has the requested changes; a full read has to follow."""
+    """Returned if the source no longer has the requested changes; a full read has to follow.
+
+    ``is_restored`` says that the source has come back from an older copy.
+    """
 
     reason: str
+    is_restored: bool = False
 
 
 class ViewSource(Protocol):
--- a/fighinge/router/follower.py
+++ b/fighinge/router/follower.py
@@ -22,6 +22,7 @@
 MIN_BACKOFF_S = 0.1  # a watch after a closed connection usually succeeds at once
 MAX_BACKOFF_S = 0.8  # well below the 3 s within which a configuration has to be active
 BACKOFF_JITTER_RATIO = 0.5  # avoids simultaneous retries by all routers after an outage
+MAX_RESTORED_READ_DELAY_S = 0.2  # spreads the reads of all routers after the store's return
 ROLE_CHECK_INTERVAL_S = 0.1
 CHANGE_BATCH_S = 0.4  # one watch returns all changes of this time; a seventh of the 3 s above
 
@@ -85,7 +86,7 @@
             await self._handle_failure(snapshot, now_s)
             return
         self._record_success(now_s)
-        self._view.replace(self._topic, snapshot.changes, now_s)
+        self._view.replace(self._topic, snapshot.changes, now_s, revision=snapshot.revision)
         self._view.advance(self._topic, snapshot.revision, snapshot.last_change)
         self._revision = snapshot.revision
 
@@ -97,6 +98,8 @@
         now_s = self._clock()
         if isinstance(changes, HistoryLost):
             self._revision = None
+            if changes.is_restored:
+                await asyncio.sleep(self._random.uniform(0, MAX_RESTORED_READ_DELAY_S))
             return
         if isinstance(changes, Failure):
             await self._handle_failure(changes, now_s)
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -27,6 +27,7 @@
 )
 CUT_OFF = Gauge("fighinge_cut_off", "Whether this router reaches no backend server")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
+STORE_ERA = Gauge("fighinge_store_era", "How often the store has come back from an older copy")
 VIEW_AGE = Gauge(
     "fighinge_view_age_seconds",
     "Time since the source of a topic, or the peer followed instead, last answered",
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -18,7 +18,8 @@
 )
 from fighinge.router.cancellable_call import CancellableCall
 from fighinge.router.relay import CHANGES_PATH, VIEW_PATH, PeerChanges, PeerView
-from fighinge.router.view import Topic, topic_of
+from fighinge.router.revisions import era_of, number_of
+from fighinge.router.source_state import Topic, topic_of
 
 if TYPE_CHECKING:
     import random
@@ -186,15 +187,25 @@
             return
         topics = self._unreachable_topics()
         now_s = self._clock()
+        if content.watermarks.is_older_than(self._view, topics):
+            self._view.log.write("peer not followed", peer=peer.host, reason="its view is older")
+            self._avoid_until_s[peer.host] = now_s + FAILED_PEER_AVOID_S
+            return
         for topic in topics:
             self._view.record_relay_answer(topic, peer.host, now_s)
-            self._view.replace(topic, content.changes(topic), now_s, from_peer=True)
+            self._view.replace(
+                topic,
+                content.changes(topic),
+                now_s,
+                from_peer=True,
+                revision=content.watermarks.watermark(topic),
+            )
         content.watermarks.apply_to(self._view, topics)
         sequence, newest = content.sequence, content.watermarks.newest_revision
         while self.is_needed(self._clock()) and self._unreachable_topics() == topics:
             query = (
-                f"?epoch={content.epoch}&after={sequence}&newest={newest}"
-                f"&wait_s={LONG_POLL_TIMEOUT_S}"
+                f"?epoch={content.epoch}&after={sequence}&newest={number_of(newest)}"
+                f"&era={era_of(newest)}&wait_s={LONG_POLL_TIMEOUT_S}"
             )
             timeout_s = LONG_POLL_TIMEOUT_S + RESPONSE_TIMEOUT_S
             changes = await self._fetch(peer, CHANGES_PATH + query, timeout_s, PeerChanges)
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -23,13 +23,14 @@
 from fighinge.router.forwarding import Forwarder, forwarding_routes
 from fighinge.router.handover import Handover
 from fighinge.router.http_server import CallerServer
-from fighinge.router.metrics import ROUTERS, VERSION, VIEW_AGE
+from fighinge.router.metrics import ROUTERS, STORE_ERA, VERSION, VIEW_AGE
 from fighinge.router.peer_follower import PeerFollower, ReaderRole
 from fighinge.router.peers import Peers
 from fighinge.router.pool import BackendPool
 from fighinge.router.reachability import Reachability
 from fighinge.router.relay import Relay, relay_routes
 from fighinge.router.retry_budget import RetryBudgetLimits
+from fighinge.router.revisions import era_of
 from fighinge.router.service import RouterService
 from fighinge.router.staleness import StalenessDetector
 from fighinge.router.typical_latency import TypicalLatencies
@@ -248,6 +249,7 @@
                 self.peers.limit_share(of_reaching=True),
             )
             ROUTERS.set(len(self.peers.accepting_routers()))
+            STORE_ERA.set(max(era_of(self.view.watermark(topic)) for topic in Topic))
             for topic in Topic:
                 VIEW_AGE.labels(topic.value).set(self.view.age_s(topic, now_s))
             self.log.flush()
--- a/fighinge/router/relay.py
+++ b/fighinge/router/relay.py
@@ -13,6 +13,7 @@
 
 from fighinge.router.changes import BackendListed, Change, TablePublished, ZoneEvacuated
 from fighinge.router.model import BackendRecord, RoutingTable
+from fighinge.router.revisions import era_of, number_of, ordered_revision
 from fighinge.router.view import Topic
 
 if TYPE_CHECKING:
@@ -30,26 +31,50 @@
 class Watermarks(msgspec.Struct, frozen=True):
     """Revisions per topic up to which a router's view is complete, and of the last changes."""
 
-    watermark: dict[str, int] = msgspec.field(name="known")
-    last_change_revision: dict[str, int] = msgspec.field(name="last_change")
+    numbers: dict[str, int] = msgspec.field(name="known")
+    last_change_numbers: dict[str, int] = msgspec.field(name="last_change")
+    eras: dict[str, int] = {}
+    last_change_eras: dict[str, int] = {}
 
     @classmethod
     def from_view(cls, view: View) -> Watermarks:
         """Return the watermarks of a view."""
+        known = {topic.value: view.watermark(topic) for topic in Topic}
+        changed = {topic.value: view.last_change_revision(topic) for topic in Topic}
         return cls(
-            {topic.value: view.watermark(topic) for topic in Topic},
-            {topic.value: view.last_change_revision(topic) for topic in Topic},
+            {name: number_of(revision) for name, revision in known.items()},
+            {name: number_of(revision) for name, revision in changed.items()},
+            {name: era_of(revision) for name, revision in known.items()},
+            {name: era_of(revision) for name, revision in changed.items()},
         )
 
+    def watermark(self, topic: Topic) -> int:
+        """Return the revision up to which a topic is complete."""
+        return ordered_revision(self.eras.get(topic.value, 0), self.numbers[topic.value])
+
+    def last_change_revision(self, topic: Topic) -> int:
+        """Return the revision of the last change of a topic."""
+        era = self.last_change_eras.get(topic.value, 0)
+        return ordered_revision(era, self.last_change_numbers[topic.value])
+
     def apply_to(self, view: View, topics: Iterable[Topic]) -> None:
         """Advance a view that follows this router to the same watermarks."""
         for topic in topics:
-            view.advance(topic, self.watermark[topic.value], self.last_change_revision[topic.value])
+            view.advance(topic, self.watermark(topic), self.last_change_revision(topic))
+
+    def is_older_than(self, view: View, topics: Iterable[Topic]) -> bool:
+        """Return whether a view has a change of these topics that this router lacks.
+
+        Routers of before the eras were known send none, and cannot be compared.
+        """
+        return bool(self.eras) and any(
+            self.watermark(topic) < view.last_change_revision(topic) for topic in topics
+        )
 
     @property
     def newest_revision(self) -> int:
         """Return the highest revision of a change."""
-        return max(self.last_change_revision.values())
+        return max(self.last_change_revision(topic) for topic in Topic)
 
 
 class PeerView(msgspec.Struct, frozen=True):
@@ -100,6 +125,12 @@
         """Return whether this router reads the store itself and can reach it."""
         return all(self._view.is_source_reachable(topic) for topic in Topic)
 
+    def known_revision(self, number: int, era: int | None) -> int:
+        """Return the revision that a peer names, by this router's era if it names none."""
+        if era is None:
+            era = era_of(Watermarks.from_view(self._view).newest_revision)
+        return ordered_revision(era, number)
+
     def view(self) -> PeerView:
         """Return the current view."""
         view = self._view
@@ -188,6 +219,8 @@
         epoch = self.get_query_argument("epoch")
         after = int(self.get_query_argument("after"))
         newest = int(self.get_query_argument("newest"))
+        era = self.get_query_argument("era", None)
+        newest = self.relay.known_revision(newest, None if era is None else int(era))
         wait_s = float(self.get_query_argument("wait_s"))
         self.respond(await self.relay.changes(epoch, after, newest, wait_s))
 
--- a/fighinge/router/staleness.py
+++ b/fighinge/router/staleness.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from fighinge.membership.messages import ConfigurationSummary
+from fighinge.router.revisions import era_of, number_of, ordered_revision
 from fighinge.router.view import Topic
 
 if TYPE_CHECKING:
@@ -42,15 +43,22 @@
 
     def summary(self) -> ConfigurationSummary:
         """Return the active version and, in place of a digest, the last change revisions."""
-        last_changes = _REVISIONS.pack(*(self._view.last_change_revision(topic) for topic in Topic))
-        return ConfigurationSummary(self._view.version, last_changes)
+        last_changes = [self._view.last_change_revision(topic) for topic in Topic]
+        return ConfigurationSummary(
+            self._view.version,
+            _REVISIONS.pack(*map(number_of, last_changes)),
+            eras=tuple(map(era_of, last_changes)),
+        )
 
     def handle_summary(self, member: Member, summary: ConfigurationSummary) -> None:
         """Record the revisions of a peer."""
         if len(summary.digest) != _REVISIONS.size:
             return
         now_s = self._clock()
-        for topic, revision in zip(Topic, _REVISIONS.unpack(summary.digest), strict=True):
+        numbers = _REVISIONS.unpack(summary.digest)
+        eras = summary.eras if len(summary.eras) == len(numbers) else (0,) * len(numbers)
+        for topic, era, number in zip(Topic, eras, numbers, strict=True):
+            revision = ordered_revision(era, number)
             if revision > max(self._view.watermark(topic), self._newest_revisions[topic]):
                 self._newest_revisions[topic] = revision
                 self._behind_since_s.setdefault(topic, now_s)
--- a/fighinge/router/view.py
+++ b/fighinge/router/view.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
 from fighinge.router.changes import (
@@ -16,6 +15,9 @@
 )
 from fighinge.router.decision_log import DecisionLog
 from fighinge.router.model import RouteIndex
+from fighinge.router.restored_copy import RemovedRuns
+from fighinge.router.revisions import era_of, number_of
+from fighinge.router.source_state import SourceState, Topic
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -25,49 +27,17 @@
 REMOVAL_DELAY_AFTER_OUTAGE_S = 2.5  # servers renew expired records within 2 s of its end
 
 
-class Topic(enum.Enum):
-    """The part of the view that a source provides."""
-
-    CONFIGURATION = "configuration"
-    BACKENDS = "backends"
-
-
-def topic_of(change: Change) -> Topic:
-    """Return the topic that a change belongs to."""
-    is_of_backends = isinstance(change, BackendListed | BackendUnlisted)
-    return Topic.BACKENDS if is_of_backends else Topic.CONFIGURATION
-
-
-class _SourceState:
-    """Reachability of a source, and the peer that is followed instead."""
-
-    __slots__ = (
-        "answering_since_s",
-        "last_answer_s",
-        "reachable_since_s",
-        "relay_answer_s",
-        "relay_host",
-        "unreachable_since_s",
-    )
-
-    def __init__(self) -> None:
-        self.last_answer_s = float("-inf")
-        self.unreachable_since_s: float | None = None
-        self.answering_since_s: float | None = None  # by a peer's word, while unreachable here
-        self.reachable_since_s = float("-inf")
-        self.relay_answer_s = float("-inf")
-        self.relay_host = ""
-
-
 class View:
     """Applies changes from sources; never replaces a configuration version by an older one."""
 
     __slots__ = (
         "_applied",
         "_change_listeners",
+        "_evacuation_end_due_s",
         "_last_change_revisions",
         "_listeners",
         "_removal_due_s",
+        "_removed_runs",
         "_revision_listeners",
         "_sources",
         "_watermarks",
@@ -84,7 +54,9 @@
         self.evacuated_zones: set[str] = set()
         self.backends: dict[str, BackendRecord] = {}
         self._removal_due_s: dict[str, float] = {}
-        self._sources = {topic: _SourceState() for topic in Topic}
+        self._evacuation_end_due_s: dict[str, float] = {}
+        self._removed_runs = RemovedRuns()
+        self._sources = {topic: SourceState() for topic in Topic}
         self._watermarks = dict.fromkeys(Topic, 0)
         self._last_change_revisions = dict.fromkeys(Topic, 0)
         self._revision_listeners: list[Callable[[], None]] = []
@@ -216,17 +188,29 @@
             )
 
     def replace(
-        self, topic: Topic, changes: Iterable[Change], now_s: float, *, from_peer: bool = False
+        self,
+        topic: Topic,
+        changes: Iterable[Change],
+        now_s: float,
+        *,
+        from_peer: bool = False,
+        revision: int = 0,
     ) -> None:
         """Replace the content of a topic by everything that is published.
 
         :param from_peer: whether it comes from a peer that reaches the source; backend servers
             that are missing are then removed at once, although this router's source is unreachable
+        :param revision: of what is published; one of a later era shows that the source has come
+            back from an older copy, in which recent changes are missing until they are repeated
         """
         changes = list(changes)
+        known = self._watermarks[topic]
+        if known and era_of(revision) > era_of(known):
+            changes = self._adopt_copy(topic, changes, now_s, era_of(revision))
         if topic is Topic.CONFIGURATION:
             listed = {change.zone for change in changes if isinstance(change, ZoneEvacuated)}
-            removed: list[Change] = [ZoneReturned(zone) for zone in self.evacuated_zones - listed]
+            ended = self.evacuated_zones - listed - self._evacuation_end_due_s.keys()
+            removed: list[Change] = [ZoneReturned(zone) for zone in ended]
         else:
             present = {
                 change.record.instance_id for change in changes if isinstance(change, BackendListed)
@@ -236,12 +220,36 @@
             "view replaced",
             topic=topic.value,
             origin=self._origin(topic, from_peer),
-            watermark=self._watermarks[topic],
+            watermark=number_of(self._watermarks[topic]),
             published=len(changes),
             missing=len(removed),
         )
         self.apply([*changes, *removed], now_s, from_peer=from_peer)
 
+    def _adopt_copy(
+        self, topic: Topic, changes: list[Change], now_s: float, era: int
+    ) -> list[Change]:
+        """Delay what is missing in an older copy; return its content without removed servers."""
+        self.log.write(
+            "source restored from a copy",
+            topic=topic.value,
+            era=era,
+            previous_era=era_of(self._watermarks[topic]),
+            revision=number_of(self._watermarks[topic]),
+        )
+        if topic is Topic.CONFIGURATION:
+            listed = {change.zone for change in changes if isinstance(change, ZoneEvacuated)}
+            due_s = now_s + REMOVAL_DELAY_AFTER_OUTAGE_S
+            for zone in self.evacuated_zones - listed:
+                self._evacuation_end_due_s.setdefault(zone, due_s)
+            return changes
+        self._sources[topic].reachable_since_s = now_s
+        return [
+            change
+            for change in changes
+            if not (isinstance(change, BackendListed) and change.record in self._removed_runs)
+        ]
+
     def apply(self, changes: Iterable[Change], now_s: float, *, from_peer: bool = False) -> None:
         """Apply changes in their order.
 
@@ -259,7 +267,10 @@
         self._notify_listeners(now_s)
 
     def expire(self, now_s: float) -> None:
-        """Remove backend servers whose records were not renewed after an outage."""
+        """Remove servers and evacuations that were not written again after an outage."""
+        ended = [zone for zone, due_s in self._evacuation_end_due_s.items() if due_s <= now_s]
+        for zone in ended:
+            self._set_zone(zone, is_evacuated=False)
         due = [name for name, until_s in self._removal_due_s.items() if until_s <= now_s]
         for name in due:
             self._drop_backend(name, "unlisted, removal delayed after an outage")
@@ -311,6 +322,7 @@
 
     def _list_backend(self, record: BackendRecord, origin: str) -> None:
         self._removal_due_s.pop(record.instance_id, None)
+        self._removed_runs.discard(record)
         known = self.backends.get(record.instance_id)
         if known == record:
             return
@@ -351,10 +363,12 @@
         if record is None:
             return
         self._removal_due_s.pop(name, None)
+        self._removed_runs.add(record)
         self._applied.append(BackendUnlisted(name))
         self.log.write("backend server removed", backend=name, service=record.service, cause=cause)
 
     def _set_zone(self, zone: str, *, is_evacuated: bool) -> None:
+        self._evacuation_end_due_s.pop(zone, None)
         if (zone in self.evacuated_zones) == is_evacuated:
             return
         self._applied.append(ZoneEvacuated(zone) if is_evacuated else ZoneReturned(zone))
--- a/standins/store.py
+++ b/standins/store.py
@@ -19,11 +19,12 @@
 
     ``fault`` is empty, ``busy`` (503), ``silent`` (no response) or ``reset`` (closed connection).
     It affects the addresses in ``affected_callers``, or all callers if that is empty. ``rewrite``
-    replaces each item or event that a caller gets.
+    replaces each item or event that a caller gets. ``era`` is in all answers, unless it is 0.
     """
 
     def __init__(self) -> None:
         self.revision = 100
+        self.era = 0
         self.fault = ""
         self.affected_callers: set[str] = set()
         self.rewrite: Callable[[str, dict], dict] = lambda _caller, item: item
@@ -72,6 +73,17 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def copy(self) -> tuple[int, dict[str, tuple[int, bytes]]]:
+        """Return a copy of the content, for :meth:`restore`."""
+        return self.revision, dict(self._items)
+
+    async def restore(self, copied: tuple[int, dict[str, tuple[int, bytes]]]) -> None:
+        """Go back to a copy, without any history; later revisions are given out again."""
+        revision, items = copied
+        self.revision, self._items = revision, dict(items)
+        self.era += 1
+        await self.compact()
+
     def list_page(self, prefix: str, after: str) -> dict:
         """Return the first page of items under a prefix whose keys follow a key."""
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
@@ -89,7 +101,7 @@
         """
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self.revision:
                 return None
             events = [
                 event
@@ -132,6 +144,8 @@
         :returns: whether a fault was applied; the handler must not respond then
         """
         self.store.calls.append(self.request.path)
+        if self.store.era:
+            self.set_header("Store-Era", str(self.store.era))
         fault = self.store.fault_for(self.request.remote_ip)
         if fault == "busy":
             self.set_status(503)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -149,3 +149,24 @@
         return len({line["key"] for line in unreadable})
 
     assert _follow(work) == len(UNUSABLE_SERVER_RECORDS) + 1
+
+
+@pytest.mark.parametrize("changes_after_copy", [1, 5])
+def test_change_that_gets_a_revision_of_the_previous_era_again_is_applied(changes_after_copy):
+    async def work(store, view):
+        store.era = 3
+        await store.put("servers/i-1", server_record())
+        await _until(lambda: set(view.backends) == {"i-1"})
+        copied = store.copy()
+        for number in range(3):
+            await store.put("servers/i-2", server_record(slots=1 + number))
+        await _until(lambda: "i-2" in view.backends and view.backends["i-2"].slots == 3)
+        await store.restore(copied)
+        for number in range(changes_after_copy):
+            await store.put(f"servers/new-{number}", server_record())
+        await store.put("servers/i-2", server_record(slots=9))
+        await _until(lambda: view.backends["i-2"].slots == 9)
+        restored = [line for line in view.log.lines if "restored" in line["event"]]
+        return len(view.backends), [(line["previous_era"], line["era"]) for line in restored]
+
+    assert _follow(work) == (2 + changes_after_copy, [(3, 4)])
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -6,6 +6,7 @@
 import random
 from collections import Counter
 
+import msgspec
 import pytest
 
 from fighinge.configuration.readers import READERS_PER_ZONE, is_reader
@@ -21,7 +22,8 @@
 )
 from fighinge.router.peer_follower import READ_WITHOUT_PEER_AFTER_S, ReaderRole
 from fighinge.router.peers import Peers
-from fighinge.router.relay import MAX_RETAINED_CHANGES, Relay
+from fighinge.router.relay import MAX_RETAINED_CHANGES, Relay, Watermarks
+from fighinge.router.revisions import ordered_revision
 from fighinge.router.view import Topic, View
 from tests.router.builders import MemoryLog, backend_record, route, router_settings, table
 from tests.virtual_time import run
@@ -218,3 +220,32 @@
         Member(Role.ENTRY, "10.0.0.5", "z2", 1, MemberState.SUSPECT),
     ]
     assert _peers(members, 0).forwarding_targets() == ["10.0.0.4"]
+
+
+def test_follower_of_before_the_eras_waits_for_changes_in_a_later_era():
+    async def follow():
+        view = _view()
+        for topic in Topic:
+            view.advance(topic, ordered_revision(2, 7), ordered_revision(2, 7))
+        relay = Relay(view)
+        known = relay.known_revision(7, None)
+        started_s = asyncio.get_running_loop().time()
+        await relay.changes(relay.epoch, 0, known, 2.0)
+        return asyncio.get_running_loop().time() - started_s
+
+    assert run(follow()) >= 2.0
+
+
+def test_older_view_of_a_peer_is_recognised_in_the_same_and_in_an_earlier_era():
+    peer, view = _view(), _view()
+    for topic in Topic:
+        peer.advance(topic, ordered_revision(1, 90), ordered_revision(1, 80))
+        view.advance(topic, ordered_revision(1, 90), ordered_revision(1, 90))
+    watermarks = Watermarks.from_view(peer)
+    assert not watermarks.is_older_than(view, Topic)
+    view.advance(Topic.BACKENDS, ordered_revision(1, 91), ordered_revision(1, 91))
+    assert watermarks.is_older_than(view, Topic)
+    assert not watermarks.is_older_than(view, [Topic.CONFIGURATION])
+    view.advance(Topic.CONFIGURATION, ordered_revision(2, 3), ordered_revision(2, 3))
+    assert watermarks.is_older_than(view, [Topic.CONFIGURATION])
+    assert not msgspec.structs.replace(watermarks, eras={}).is_older_than(view, Topic)
--- a/tests/router/test_staleness.py
+++ b/tests/router/test_staleness.py
@@ -5,11 +5,14 @@
 import asyncio
 import random
 
+import msgspec
+
 from fighinge.membership.member import Member, Role
 from fighinge.membership.messages import ConfigurationSummary
 from fighinge.router.changes import BackendListed, Changes, Snapshot
 from fighinge.router.follower import Follower
 from fighinge.router.relay import Relay
+from fighinge.router.revisions import ordered_revision
 from fighinge.router.staleness import STALE_AFTER_S, StalenessDetector
 from fighinge.router.view import Topic, View
 from tests.router.builders import MemoryLog, backend_record
@@ -117,3 +120,20 @@
         return changes.changes, changes.watermarks.newest_revision
 
     assert run(follow()) == ((), 12)
+
+
+def test_change_of_a_later_era_is_newer_whatever_its_number():
+    router = _Router()
+    for topic in Topic:
+        router.view.advance(topic, ordered_revision(1, 90), ordered_revision(1, 90))
+    router.staleness.handle_summary(PEER, _peer_summary(ordered_revision(2, 7)))
+    assert set(router.staleness.pop_stale(NOW_S + STALE_AFTER_S)) == set(Topic)
+
+
+def test_peer_that_does_not_know_the_era_causes_no_reads():
+    router = _Router()
+    for topic in Topic:
+        router.view.advance(topic, ordered_revision(2, 7), ordered_revision(2, 7))
+    summary = msgspec.structs.replace(_peer_summary(90), eras=())
+    router.staleness.handle_summary(PEER, summary)
+    assert router.staleness.pop_stale(NOW_S + 10) == []
--- a/tests/router/test_view.py
+++ b/tests/router/test_view.py
@@ -10,6 +10,7 @@
     TablePublished,
     ZoneEvacuated,
 )
+from fighinge.router.revisions import ordered_revision
 from fighinge.router.view import REMOVAL_DELAY_AFTER_OUTAGE_S, Topic, View
 from tests.router.builders import MemoryLog, backend_record, route, table
 
@@ -147,3 +148,50 @@
         view.replace(Topic.BACKENDS, [], NOW_S + 5)
     delayed = [line for line in view.log.lines if line["event"] == "backend server removal delayed"]
     assert [line["due_in_s"] for line in delayed] == [REMOVAL_DELAY_AFTER_OUTAGE_S]
+
+
+@pytest.fixture
+def copied_view(view):
+    """Return a view of a source in its first era: a server has left, a data centre is evacuated."""
+    view.apply([BackendListed(backend_record("i1")), BackendListed(backend_record("i2"))], NOW_S)
+    view.apply([BackendUnlisted("i2"), ZoneEvacuated("z1")], NOW_S)
+    for topic in Topic:
+        view.advance(topic, ordered_revision(1, 50), ordered_revision(1, 50))
+    return view
+
+
+def _restore(view, records=()):
+    revision = ordered_revision(2, 40)
+    view.replace(Topic.CONFIGURATION, [], NOW_S + 9, revision=revision)
+    view.replace(Topic.BACKENDS, map(BackendListed, records), NOW_S + 9, revision=revision)
+
+
+def test_server_and_evacuation_that_a_restored_copy_lacks_hold_until_they_can_be_repeated(
+    copied_view,
+):
+    _restore(copied_view)
+    copied_view.expire(NOW_S + 9 + REMOVAL_DELAY_AFTER_OUTAGE_S - 0.1)
+    assert (set(copied_view.backends), copied_view.evacuated_zones) == ({"i1"}, {"z1"})
+    copied_view.expire(NOW_S + 9 + REMOVAL_DELAY_AFTER_OUTAGE_S)
+    assert (set(copied_view.backends), copied_view.evacuated_zones) == (set(), set())
+
+
+def test_evacuation_that_is_repeated_after_a_restore_holds(copied_view):
+    _restore(copied_view)
+    copied_view.apply([ZoneEvacuated("z1")], NOW_S + 10)
+    copied_view.expire(NOW_S + 60)
+    assert copied_view.evacuated_zones == {"z1"}
+
+
+def test_server_that_has_left_is_used_after_a_restore_only_if_it_writes_again(copied_view):
+    records = [backend_record("i1"), backend_record("i2")]
+    _restore(copied_view, records)
+    assert set(copied_view.backends) == {"i1"}
+    copied_view.apply([BackendListed(records[1])], NOW_S + 10)
+    assert set(copied_view.backends) == {"i1", "i2"}
+
+
+def test_revision_of_a_later_era_is_higher(copied_view):
+    copied_view.advance(Topic.BACKENDS, ordered_revision(2, 3), ordered_revision(2, 3))
+    copied_view.advance(Topic.BACKENDS, ordered_revision(1, 90), ordered_revision(1, 90))
+    assert copied_view.watermark(Topic.BACKENDS) == ordered_revision(2, 3)
