Answer a request whose work ends by an unexpected error, and read loads as ASCII digits

Cause: str.isdigit() is true for superscript digits, for which int() raises ValueError. The error ended the call's task and the request's task; nothing answered the caller, and the call was not taken off.

Change: a load is three numbers of ASCII digits. An unexpected error in the work on a request is logged with its place ('request failed unexpectedly') and answered with 500, which promises nothing; the calls of such a request end.

--- a/fighinge/platform/headers.py
+++ b/fighinge/platform/headers.py
@@ -48,6 +48,7 @@
 )
 STATEMENT_HEADERS = frozenset(name.lower() for name in (LEAVING, RATE_LIMIT, RETRY_AFTER))
 NO_STATEMENT = ServerStatement()
+_LOAD_PATTERN = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
 _REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,200}")
 
 
@@ -226,7 +227,5 @@
 
 def _parse_load(text: str | None) -> ReportedLoad | None:
     """Return the load from a comma-separated list of running, waiting and slots."""
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return ReportedLoad(*(int(part) for part in parts))
+    match = _LOAD_PATTERN.fullmatch(text or "")
+    return ReportedLoad(*map(int, match.groups())) if match else None
--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -231,6 +231,10 @@
         if ratio > self.slowness(now_s):
             self._observe_slowness(ratio, now_s)
 
+    def abandon_call(self, call_number: int) -> None:
+        """Record the end of a call by an unexpected error, which says nothing of the server."""
+        self._calls.pop(call_number, None)
+
     def finish_call(
         self, call_number: int, result: BackendResponse | CallFailure, now_s: float
     ) -> None:
--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -122,7 +122,9 @@
 
         def handle_end(ended: asyncio.Task[CallResult]) -> None:
             # Also called for a task that is cancelled before its first step.
-            if ended.cancelled():
+            if not ended.cancelled() and ended.exception() is not None:
+                backend.abandon_call(call_number)
+            elif ended.cancelled():
                 now_s = self._clock()
                 backend.cancel_call(call_number, now_s)
                 if now_s - started_s >= SILENT_CALL_S:
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -86,6 +87,15 @@
         self.in_flight += 1
         try:
             return await self._answer(request)
+        except Exception as error:
+            self._log.write(
+                "request failed unexpectedly",
+                request=request.request_id,
+                path=request.path,
+                error="".join(traceback.format_exception(error)[-2:]),
+            )
+            failure = Failure(ErrorKind.INTERNAL, "an unexpected error, see this router's log")
+            return self._finish(request, None, self._view.version, failure, "")
         finally:
             self.in_flight -= 1
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -142,3 +142,13 @@
     answer = CODEC.encode_failure(Failure(kind, "why"), None)
     if not ERROR_PROPERTIES[kind].not_run:
         assert answer.status not in (408, 421, 429, 503)
+
+
+@pytest.mark.parametrize(
+    "load",
+    ["\xb2,0,8", "1,\xb3,8", "1,0,\xb9", "9" * 5000 + ",0,8", "-1,0,8", "1,0", "1,0,8,2", ""],
+)
+def test_unreadable_load_is_ignored(load):
+    raw = RawResponse(200, (("X-Server-Load", load), ("X-Server-Stamp", "s")), b"body")
+    response = PlatformCodec().decode_response(request(), raw)
+    assert (response.load, response.body, response.signature) == (None, b"body", "s")
