Keep a response's body in one buffer, and bound its trailer section

Cause: the bounds count bytes of bodies, but each chunk was kept as an object of its own, at 56 bytes for two. A trailer was not counted at all.

Change: from the second chunk on, a body is one growing buffer. Bytes after a body's last part that do not complete the response are bounded like a header section.

Evidence: test_memory_of_a_body_in_small_chunks_is_bounded_by_its_bytes and test_trailer_section_is_bounded failed before.

--- a/fighinge/router/response_parser.py
+++ b/fighinge/router/response_parser.py
@@ -44,8 +44,9 @@
     interim responses are discarded. ``has_surplus`` says that bytes followed the complete response,
     which belong to no request. ``may_reuse`` says that the server keeps the connection open.
 
-    A body with a transfer coding other than chunks could not be passed on as it is, so that such a
-    response is invalid (``_has_other_coding``).
+    ``_trailing_bytes`` counts the bytes since the last part of the body, as those of a trailer are
+    held until it is complete. A body with a transfer coding other than chunks could not be passed
+    on as it is, so that such a response is invalid (``_has_other_coding``).
     """
 
     __slots__ = (
@@ -58,6 +59,7 @@
         "_is_head",
         "_is_too_large",
         "_parser",
+        "_trailing_bytes",
         "has_all_headers",
         "has_surplus",
         "headers",
@@ -69,7 +71,7 @@
     def __init__(self, buffers: ResponseBuffers) -> None:
         self._buffers = buffers
         self._parser = httptools.HttpResponseParser(self)
-        self._body: list[bytes] = []
+        self._body: bytes | bytearray = b""
         self._body_bytes = 0
         self.start()
 
@@ -81,6 +83,7 @@
         self.discard()
         self._is_head = is_head
         self._fed_bytes = 0
+        self._trailing_bytes = 0
         self._has_length = self._has_other_coding = False
         self._is_too_large = False
         self.status = 0
@@ -93,13 +96,13 @@
     def discard(self) -> None:
         """Give back the bytes of the body."""
         self._buffers.release(self._body_bytes)
-        self._body = []
+        self._body = b""
         self._body_bytes = 0
 
     @property
     def body(self) -> bytes:
         """Return the body as far as it has arrived."""
-        return self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        return bytes(self._body)
 
     def feed(self, data: bytes) -> str:
         """Parse further bytes.
@@ -108,6 +111,7 @@
         """
         if not self.has_all_headers:
             self._fed_bytes += len(data)
+        self._trailing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -123,6 +127,9 @@
             return "the transfer coding is unknown"
         if not self.has_all_headers and self._fed_bytes > MAX_HEADER_BYTES:
             return "the header section is too long"
+        is_in_body = self.has_all_headers and not self.is_complete
+        if is_in_body and self._trailing_bytes > MAX_HEADER_BYTES:
+            return "the trailer section is too long"
         return ""
 
     def end(self) -> bool:
@@ -166,15 +173,25 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Handle a part of the body; httptools calls this."""
+        self._trailing_bytes = 0
         if self.is_complete or self._is_too_large:
             self.has_surplus |= self.is_complete
         elif self._buffers.grow(self._body_bytes, len(chunk)):
-            self._body.append(chunk)
+            self._append(chunk)
             self._body_bytes += len(chunk)
         else:
             self._is_too_large = True
             self.discard()
 
+    def _append(self, chunk: bytes) -> None:
+        """Append to the body; small chunks are not kept as objects of their own."""
+        if not self._body:
+            self._body = chunk
+            return
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += chunk
+
     def on_message_complete(self) -> None:
         """Handle the end of a response; httptools calls this."""
         if self.has_all_headers and not self.is_complete:
--- a/tests/router/test_response_parser.py
+++ b/tests/router/test_response_parser.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -101,3 +103,26 @@
     assert buffers.used_bytes == 5
     parser.start()
     assert buffers.used_bytes == 0
+
+
+def test_memory_of_a_body_in_small_chunks_is_bounded_by_its_bytes():
+    chunks = 100_000
+    part = 1000 * b"2\r\nxy\r\n"
+    parser, _ = _feed(CHUNKED[: CHUNKED.index(b"3")])
+    tracemalloc.start()
+    try:
+        reasons = {parser.feed(part) for _ in range(chunks // 1000)}
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert reasons == {""}
+    assert held_bytes < 2 * len(b"xy") * chunks
+    parser.feed(b"0\r\n\r\n")
+    assert parser.is_complete and parser.body == chunks * b"xy"
+
+
+def test_trailer_section_is_bounded():
+    parts = 2 * MAX_HEADER_BYTES // 1000 * [1000 * b"a"]
+    _, reasons = _feed(CHUNKED[:-2] + b"X-Trailer: ", *parts)
+    assert reasons[-1] == "the trailer section is too long"
+    assert set(reasons[: len(parts) // 3]) == {""}
