Record in the stand-in server only the pauses that it has told a client

Cause: the stand-in recorded a pause before it looked whether the connection was still open.

Evidence: test_pause_that_no_client_was_told_of_is_not_recorded failed before.

--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -156,7 +156,6 @@
         self._requests += 1
         if self.retry_after_s is not None:
             refusal["Retry-After"] = str(self.retry_after_s)
-            self._record_statement(self.events.refusals, request_id, self.retry_after_s, router)
             return self._write(connection, 503, refusal, b"")
         has_fault = self.fault and self._requests % self.fault_interval_requests == 0
         if self._queued >= self._queue_limit or (has_fault and self.fault == "shed"):
@@ -217,10 +216,13 @@
     def _write(self, connection, status: int, headers: dict[str, str], body: bytes) -> None:
         if connection.stream is None or connection.stream.closed():
             return
+        request_id = headers.get("X-Request-Id", "")
+        router = self.events.routers.get(connection.context.remote_ip)
+        if "Retry-After" in headers:
+            pause_s = float(headers["Retry-After"])
+            self._record_statement(self.events.refusals, request_id, pause_s, router)
         if self.is_leaving:
             headers = {**headers, "Server-Leaving": "1"}
-            request_id = headers.get("X-Request-Id", "")
-            router = self.events.routers.get(connection.context.remote_ip)
             self._record_statement(self.events.leavings, request_id, float("inf"), router)
         limit = self.max_requests_per_s
         if limit is not None:
