Let the soak's store come back from older copies, and end its watches without an error

The soak now also restores the store from a copy some tenths of a second to two seconds old; what the copy lacks is written again half a second later, for keys that were not written since.

The stand-in store sometimes answered a watch with an error ('Lock is not acquired'): in Python 3.11 a condition that is notified in the moment of its timeout is left without its lock. Watches of 3 s meet this more often. It waits for an event now.

--- a/standins/store.py
+++ b/standins/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 from collections.abc import Callable
+from contextlib import suppress
 
 import msgspec
 from tornado.httpserver import HTTPServer
@@ -14,6 +15,13 @@
 ITEMS_PER_PAGE = 50
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """The content of a store at a revision: the revision and the value of each key."""
+
+    revision: int
+    items: dict[str, tuple[int, bytes]]
+
+
 class StandinStore:
     """Hold items and their event history in memory, and serve them over HTTP.
 
@@ -32,7 +40,7 @@
         self._items: dict[str, tuple[int, bytes]] = {}
         self._events: list[dict] = []
         self._compacted_revision = self.revision
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()
         self._server: HTTPServer | None = None
 
     def start(self, port: int, host: str = "127.0.0.1") -> None:
@@ -70,20 +78,32 @@
         """Drop the event history, so that watches of older revisions fail."""
         self._events.clear()
         self._compacted_revision = self.revision
-        async with self._changed:
-            self._changed.notify_all()
+        self._notify_watches()
 
-    def copy(self) -> tuple[int, dict[str, tuple[int, bytes]]]:
+    def copy(self) -> StoreCopy:
         """Return a copy of the content, for :meth:`restore`."""
-        return self.revision, dict(self._items)
+        return StoreCopy(self.revision, dict(self._items))
 
-    async def restore(self, copied: tuple[int, dict[str, tuple[int, bytes]]]) -> None:
+    async def restore(self, copied: StoreCopy) -> None:
         """Go back to a copy, without any history; later revisions are given out again."""
-        revision, items = copied
-        self.revision, self._items = revision, dict(items)
+        self.revision, self._items = copied.revision, dict(copied.items)
         self.era += 1
         await self.compact()
 
+    async def write_again(self, lost: StoreCopy, copied: StoreCopy) -> None:
+        """Repeat what the restored copy lacks, for each key that was not written since.
+
+        :param lost: the content before the restore
+        :param copied: the content after it
+        """
+        for key in lost.items.keys() | copied.items.keys():
+            if self._items.get(key) != copied.items.get(key):
+                continue
+            if key not in lost.items:
+                await self.delete(key)
+            elif lost.items[key] != copied.items.get(key):
+                await self.put(key, lost.items[key][1])
+
     def list_page(self, prefix: str, after: str) -> dict:
         """Return the first page of items under a prefix whose keys follow a key."""
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
@@ -111,11 +131,10 @@
             remaining_s = deadline_s - asyncio.get_running_loop().time()
             if events or remaining_s <= 0:
                 return {"events": events, "store-revision": self.revision}
-            async with self._changed:
-                try:
-                    await asyncio.wait_for(self._changed.wait(), remaining_s)
-                except TimeoutError:
-                    continue
+            changed = self._changed
+            with suppress(TimeoutError):
+                async with asyncio.timeout(remaining_s):
+                    await changed.wait()
 
     def fault_for(self, caller: str) -> str:
         """Return the fault that affects a caller, empty if none does."""
@@ -125,8 +144,11 @@
 
     async def _append_event(self, event: dict) -> None:
         self._events.append(event)
-        async with self._changed:
-            self._changed.notify_all()
+        self._notify_watches()
+
+    def _notify_watches(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
 
 
 def _item(key: str, revision: int, raw: bytes) -> dict:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -35,6 +35,7 @@
 from tests.platform.store_faults import (
     DRAIN_S,
     LateLeaving,
+    restore_older_copy,
     silence_after_change,
     write_odd_record,
 )
@@ -191,6 +192,7 @@
             faults += (self._turn_harmful, self._turn_harmful)
         if self._has_store_faults:
             faults += (self._silence, self._silence, self._silence, self._odd_record)
+            faults += (self._restore, self._restore)
         fault = self._random.choice(faults)
         length_s = self._random.uniform(0.3, 2.0)
         number = self._random.randrange(len(self._fleet.processes))
@@ -276,6 +278,9 @@
     async def _silence(self, _number: int, length_s: float) -> None:
         await silence_after_change(self._fleet, length_s)
 
+    async def _restore(self, _number: int, length_s: float) -> None:
+        await restore_older_copy(self._fleet, length_s)
+
     async def _odd_record(self, _number: int, _length_s: float) -> None:
         await write_odd_record(self._fleet, self._random)
 
--- a/tests/platform/store_faults.py
+++ b/tests/platform/store_faults.py
@@ -17,6 +17,8 @@
 
 NEXT_WATCH_S = 0.3  # routers send their next watch 0.4 s after a change
 DRAIN_S = 3.0
+AWAY_S = 0.2
+REPEAT_S = 0.5  # servers and operators need some time to write again
 
 
 async def silence_after_change(fleet: SoakFleet, length_s: float) -> None:
@@ -28,6 +30,21 @@
     fleet.store.fault = ""
 
 
+async def restore_older_copy(fleet: SoakFleet, length_s: float) -> None:
+    """Let the store come back from an older copy, and have what that lacks written again."""
+    store = fleet.store
+    copied = store.copy()
+    await fleet.configure()
+    await asyncio.sleep(length_s)
+    store.fault, store.affected_callers = "reset", set()
+    await asyncio.sleep(AWAY_S)
+    lost = store.copy()
+    await store.restore(copied)
+    store.fault = ""
+    await asyncio.sleep(REPEAT_S)
+    await store.write_again(lost, copied)
+
+
 async def write_odd_record(fleet: SoakFleet, random_source: random.Random) -> None:
     """Leave an unusable record of another writer among those of the servers."""
     index = random_source.randrange(len(UNUSABLE_SERVER_RECORDS))
