Take deeply nested messages for unreadable ones everywhere

The same cause as that of the odd entries among the backend servers, found elsewhere: nesting beyond the recursion limit raises RecursionError, and only msgspec.DecodeError was caught. In the product's own daemons it came from the platform's answers and published patches, from backend servers' answers, and from the client's; in routers from peers' messages.

Change: fighinge/decoding.py names what decoding may raise; each place that decodes bytes of another process takes these for an unreadable message, with the reason that it gave before.

--- a/fighinge/aggregator/http_client.py
+++ b/fighinge/aggregator/http_client.py
@@ -10,6 +10,7 @@
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
 from fighinge.curl import TransferFailure, create_client, fetch_once
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.messages import (
     BackendAnswer,
     BackendCancel,
@@ -116,5 +117,5 @@
 def _decode(body: bytes, message_type: type):
     try:
         return msgspec.json.decode(body, type=message_type)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return CallFailure(CallFault.BAD_ANSWER, str(error))
--- a/fighinge/client.py
+++ b/fighinge/client.py
@@ -11,6 +11,7 @@
 from tornado.httpclient import HTTPRequest
 
 from fighinge.curl import TransferFailure, create_client, fetch_once
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.errors import ErrorKind, Failure
 from fighinge.queries import EntriesAnswer, EntryAddress, QueryAnswer, QueryError, QueryRequest
 
@@ -191,7 +192,7 @@
             return Failure(ErrorKind.NOT_READY, f"{url}: status {response.code}")
         try:
             return msgspec.json.decode(response.body, type=EntriesAnswer)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             return Failure(ErrorKind.NOT_READY, f"{url}: {error}")
 
     async def _send(
@@ -231,7 +232,7 @@
     message_type = QueryAnswer if response.code == 200 else QueryError
     try:
         return msgspec.json.decode(response.body, type=message_type)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         failure = Failure(ErrorKind.OUTCOME_UNKNOWN, f"the answer cannot be decoded: {error}")
         return _error(request, failure, not_run=False)
 
--- a/fighinge/configuration/history.py
+++ b/fighinge/configuration/history.py
@@ -9,6 +9,7 @@
 import jsonpointer
 import msgspec
 
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.errors import ErrorKind, Failure
 from fighinge.model import Document, decode_document
 
@@ -136,7 +137,7 @@
     try:
         operations = msgspec.json.decode(raw_operations)
         patched = jsonpatch.apply_patch(msgspec.json.decode(current.raw), operations)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(ErrorKind.BAD_REQUEST, f"invalid JSON patch: {error}", "operations")
     except (
         jsonpatch.JsonPatchException,
@@ -214,7 +215,7 @@
         return Failure(ErrorKind.NOT_READY, "no base document is published", BASE_KEY)
     try:
         base = msgspec.json.decode(raw, type=Base)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(ErrorKind.BAD_REQUEST, f"invalid base document: {error}", BASE_KEY)
     text = _join_parts(base.parts, base.sha256, values) if base.parts else bytes(base.document)
     if isinstance(text, Failure):
@@ -236,7 +237,7 @@
 def _decode_patch(raw: bytes, values: Mapping[str, msgspec.Raw]) -> Patch | Failure:
     try:
         patch = msgspec.json.decode(raw, type=Patch)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(ErrorKind.BAD_REQUEST, f"invalid patch: {error}")
     if not patch.parts:
         return patch
@@ -259,7 +260,7 @@
             return Failure(ErrorKind.NOT_READY, "part is not published yet", key)
         try:
             parts.append(msgspec.json.decode(values[key], type=str))
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             return Failure(ErrorKind.BAD_REQUEST, f"invalid part: {error}", key)
     text = "".join(parts).encode()
     if hashlib.sha256(text).hexdigest() != sha256:
--- a/fighinge/configuration/platform_client.py
+++ b/fighinge/configuration/platform_client.py
@@ -9,6 +9,7 @@
 
 from fighinge.configuration.base import ListedHost, Values
 from fighinge.curl import create_client
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.errors import ErrorKind, Failure
 
 CONNECT_TIMEOUT_S = 1.0
@@ -61,5 +62,5 @@
             return Failure(ErrorKind.NOT_READY, f"the platform returned HTTP {response.code}")
         try:
             return msgspec.json.decode(response.body, type=message_type)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             return Failure(ErrorKind.NOT_READY, f"invalid response from the platform: {error}")
--- a/fighinge/configuration/sync.py
+++ b/fighinge/configuration/sync.py
@@ -12,6 +12,7 @@
 
 from fighinge.configuration.confirmation import Confirmation
 from fighinge.configuration.store import ConfigurationStore, Transfer
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.errors import Failure
 from fighinge.membership.messages import (
     MAX_CHUNK_BYTES,
@@ -86,7 +87,7 @@
         try:
             raw = zlib.decompressobj().decompress(encoded, MAX_TRANSFER_BYTES)
             return msgspec.msgpack.decode(raw, type=Transfer)
-        except (zlib.error, msgspec.DecodeError):
+        except (zlib.error, *UNREADABLE_ERRORS):
             return None
 
 
--- a/fighinge/model.py
+++ b/fighinge/model.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.errors import ErrorKind, Failure
 
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
@@ -131,7 +132,7 @@
     """
     try:
         document = msgspec.json.decode(raw, type=Document)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return _decode_failure(str(error))
     return check_document(document) or document
 
--- a/fighinge/platform/records.py
+++ b/fighinge/platform/records.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fighinge.aggregator.base import Address
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.router.changes import (
     BackendListed,
     BackendUnlisted,
@@ -37,8 +38,6 @@
 MAX_SLOTS = 1_000_000
 MAX_COLD_LEFT_MS = 86_400_000.0
 MAX_PORT = 65_535
-# Nesting deeper than the interpreter's recursion limit is no DecodeError.
-UNREADABLE_ERRORS = (msgspec.DecodeError, RecursionError, ValueError)
 
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
@@ -173,7 +172,7 @@
 def _decode_config(key: str, value: bytes) -> Change:
     try:
         config = _config_decoder.decode(value)
-    except UNREADABLE_ERRORS as error:
+    except (*UNREADABLE_ERRORS, ValueError) as error:
         return Unreadable(key, str(error))
     services = {service.name: service.decode() for service in config.services}
     routes = tuple(route.decode() for route in config.routes)
@@ -187,7 +186,7 @@
     try:
         record = _server_decoder.decode(value)
         address = _parse_address(record.address)
-    except UNREADABLE_ERRORS as error:
+    except (*UNREADABLE_ERRORS, ValueError) as error:
         return BackendUnlisted(instance_id, str(error))
     return BackendListed(
         BackendRecord(
--- a/fighinge/platform/store.py
+++ b/fighinge/platform/store.py
@@ -15,11 +15,11 @@
     enable_keepalive_probes,
     fetch_once,
 )
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.errors import ErrorKind, Failure
 from fighinge.platform.records import (
     OPERATOR_PREFIX,
     SERVERS_PREFIX,
-    UNREADABLE_ERRORS,
     decode_delete,
     decode_put,
 )
@@ -181,7 +181,7 @@
             return _failure(f"the store returned status {response.code}")
         try:
             return msgspec.json.decode(response.body, type=message_type)
-        except UNREADABLE_ERRORS as error:
+        except (*UNREADABLE_ERRORS, ValueError) as error:
             return _failure(f"the store's response cannot be decoded: {error}")
 
 
--- a/fighinge/router/forwarding.py
+++ b/fighinge/router/forwarding.py
@@ -12,6 +12,7 @@
 from tornado.web import RequestHandler
 
 from fighinge.curl import TransferFailure, create_client, enable_keepalive_probes, fetch_once
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.errors import ErrorKind, Failure
 from fighinge.router.exchange import Answer, CallerRequest
 
@@ -194,7 +195,7 @@
             return Unserved.REFUSED
         try:
             return msgspec.msgpack.decode(response.body, type=Answer)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             return Failure(ErrorKind.BACKEND_FAULT, f"the peer's answer is invalid: {error}")
 
 
@@ -222,7 +223,7 @@
             return
         try:
             request = msgspec.msgpack.decode(self.request.body, type=CallerRequest)
-        except msgspec.DecodeError:
+        except UNREADABLE_ERRORS:
             self.set_status(400)
             return
         self._task = self._server.start_forwarded(request)
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -16,6 +16,7 @@
     enable_keepalive_probes,
     fetch_once,
 )
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.router.cancellable_call import CancellableCall
 from fighinge.router.relay import CHANGES_PATH, VIEW_PATH, PeerChanges, PeerView
 from fighinge.router.revisions import era_of, number_of
@@ -245,6 +246,6 @@
             return None
         try:
             return msgspec.msgpack.decode(response.body, type=message_type)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             self._view.log.write("peer's view unreadable", peer=peer.host, reason=str(error))
             return None
