Let the product's own watches of the platform last for two seconds

The cause of in the product's own daemons: readers watched the platform for 20 s, so that after a silence, in a fleet of which every process is a reader, a version was in force up to 23 s late (5 s is the target). Larger fleets were covered by the fallback reads of the others.

--- a/fighinge/configuration/watcher.py
+++ b/fighinge/configuration/watcher.py
@@ -27,7 +27,7 @@
 logger = logbook.Logger(__name__)
 
 KEY_PREFIX = "configuration/"
-WATCH_WAIT_S = 20.0
+WATCH_WAIT_S = 2.0  # a platform that was silent never answers the watches of that time
 START_JITTER_S = 1.0
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 8.0
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -10,12 +10,19 @@
 
 from fighinge.configuration.base import ListedHost, Values
 from fighinge.configuration.history import BASE_KEY
-from fighinge.configuration.watcher import ConfigurationWatcher, follow_host_list
+from fighinge.configuration.platform_client import READ_TIMEOUT_S
+from fighinge.configuration.watcher import (
+    READER_REPEAT_DELAY_S,
+    ConfigurationWatcher,
+    follow_host_list,
+)
 from fighinge.errors import ErrorKind, Failure
 from standins.platform import StandinPlatform
 from tests.fleets import ProcessFleet, base_values, until, zone_patch
 
 READ_BUDGET_PER_S = 2000
+CHANGE_IN_FORCE_S = 5.0  # the target for a change of the configuration
+STABLE_S = 4.0  # a silence is over for so long when the change comes
 
 
 class CountingPlatform:
@@ -26,6 +33,7 @@
         self.clock = clock
         self.calls: dict[int, int] = {}
         self.is_down = False
+        self.forgets_reads = False
 
     def count(self) -> None:
         second = int(self.clock())
@@ -36,6 +44,9 @@
         if self.is_down:
             await asyncio.sleep(0.5)
             return Failure(ErrorKind.NOT_READY, "down")
+        if self.forgets_reads:
+            await asyncio.sleep(wait_s + READ_TIMEOUT_S)
+            return Failure(ErrorKind.NOT_READY, "timed out")
         return await self.platform.read(prefix, after_revision, wait_s)
 
     async def hosts(self) -> list[ListedHost] | Failure:
@@ -132,6 +143,24 @@
     _run(run())
 
 
+def test_version_is_in_force_in_time_after_the_platform_has_forgotten_all_watches():
+    async def run():
+        fleet, platform = await _started(1, 3)
+        await until(_all_at(fleet, 1), 5)
+        await asyncio.sleep(5)
+        platform.forgets_reads = True
+        key, value = next(iter(zone_patch(1).values.items()))
+        await platform.platform.publish(key, bytes(value))
+        await asyncio.sleep(5 * READER_REPEAT_DELAY_S)
+        platform.forgets_reads = False
+        await asyncio.sleep(STABLE_S)
+        key, value = next(iter(zone_patch(2).values.items()))
+        await platform.platform.publish(key, bytes(value))
+        await until(_all_at(fleet, 3), CHANGE_IN_FORCE_S)
+
+    _run(run())
+
+
 def test_platform_restored_to_an_older_revision_is_read_again_and_reverts_nothing():
     async def run():
         fleet, platform = await _started(1, 2)
