--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -32,7 +32,7 @@
 
 POLL_INTERVAL_S = 0.25  # ten tries within the 3 s in which a configuration has to be active
 SOURCE_UNREACHABLE_AFTER_S = 0.4  # one failed read and one retry
-LONG_POLL_TIMEOUT_S = 3.0  # keep-alive probes do not find a peer whose process stands still
+LONG_POLL_TIMEOUT_S = 6.0  # keep-alive probes do not find a peer whose process stands still
 CONNECT_TIMEOUT_S = 0.3  # 100 times the latency between data centres
 RESPONSE_TIMEOUT_S = 1.5  # transfers a view of 1 MB over a link of 10 Mbit/s
 MAX_CONCURRENT_CALLS = 2
