Pass a half-closed connection on in the stand-in proxy

The server wrote its 503 with Retry-After; the proxy had closed both sides at the first end of bytes, so that the response was lost on the way, and 18 requests came within the pause that the router had not heard of.

Change: at the end of one direction's bytes the proxy ends that direction only.

Evidence: test_answer_reaches_a_client_that_has_closed_its_own_side failed before (no bytes).

--- a/standins/faulty_proxy.py
+++ b/standins/faulty_proxy.py
@@ -65,12 +65,14 @@
             self._forward(target_reader, writer, "cut_answers"),
             return_exceptions=True,
         )
+        writer.close()
+        target_writer.close()
         self._open_writers -= {writer, target_writer}
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, discard_mode: str
     ) -> None:
-        """Forward bytes until the connection ends.
+        """Forward bytes until this direction ends; the other one may go on.
 
         :param discard_mode: mode in which the bytes of this direction are discarded
         """
@@ -83,8 +85,10 @@
                 elif self.mode not in ("silent", discard_mode):
                     writer.write(data)
                     await writer.drain()
-        finally:
+            writer.write_eof()
+        except BaseException:
             writer.close()
+            raise
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
