Keep what a peer's restored copy lacks too, and count off a call where it ends

An unexpected error of a call is counted off in the call itself: looking at the task's exception from outside would have kept asyncio from reporting one that nobody awaits.

--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -12,7 +12,7 @@
 from fighinge.router.exchange import BackendResponse, InterruptedResponse, RawResponse
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from fighinge.router.backend import Backend
     from fighinge.router.backend_calls import BackendCalls
@@ -108,7 +108,8 @@
             nonlocal has_started
             has_started = True
 
-        call = self._run(
+        send = partial(
+            self._send,
             request,
             backend,
             latency_key,
@@ -118,13 +119,11 @@
             is_idempotent,
             record_start,
         )
-        task = asyncio.create_task(call)
+        task = asyncio.create_task(self._run(backend, call_number, send))
 
         def handle_end(ended: asyncio.Task[CallResult]) -> None:
             # Also called for a task that is cancelled before its first step.
-            if not ended.cancelled() and ended.exception() is not None:
-                backend.abandon_call(call_number)
-            elif ended.cancelled():
+            if ended.cancelled():
                 now_s = self._clock()
                 backend.cancel_call(call_number, now_s)
                 if now_s - started_s >= SILENT_CALL_S:
@@ -135,7 +134,18 @@
         task.add_done_callback(handle_end)
         return task
 
+    @staticmethod
     async def _run(
+        backend: Backend, call_number: int, send: Callable[[], Awaitable[CallResult]]
+    ) -> CallResult:
+        """Return the result of a call; one that ends by an unexpected error no longer counts."""
+        try:
+            return await send()
+        except Exception:
+            backend.abandon_call(call_number)
+            raise
+
+    async def _send(
         self,
         request: CallerRequest,
         backend: Backend,
--- a/fighinge/router/view.py
+++ b/fighinge/router/view.py
@@ -205,7 +205,8 @@
         """
         changes = list(changes)
         known = self._watermarks[topic]
-        if known and era_of(revision) > era_of(known):
+        is_restored = known > 0 and era_of(revision) > era_of(known)
+        if is_restored:
             changes = self._adopt_copy(topic, changes, now_s, era_of(revision))
         if topic is Topic.CONFIGURATION:
             listed = {change.zone for change in changes if isinstance(change, ZoneEvacuated)}
@@ -224,7 +225,8 @@
             published=len(changes),
             missing=len(removed),
         )
-        self.apply([*changes, *removed], now_s, from_peer=from_peer)
+        self.apply(changes, now_s, from_peer=from_peer)
+        self.apply(removed, now_s, from_peer=from_peer and not is_restored)
 
     def _adopt_copy(
         self, topic: Topic, changes: list[Change], now_s: float, era: int
--- a/tests/router/test_view.py
+++ b/tests/router/test_view.py
@@ -176,6 +176,15 @@
     assert (set(copied_view.backends), copied_view.evacuated_zones) == (set(), set())
 
 
+def test_server_that_a_peers_restored_copy_lacks_holds_until_it_can_write_again(copied_view):
+    copied_view.record_source_failure(Topic.BACKENDS, "reset", NOW_S + 8)
+    revision = ordered_revision(2, 40)
+    copied_view.replace(Topic.BACKENDS, [], NOW_S + 9, from_peer=True, revision=revision)
+    assert set(copied_view.backends) == {"i1"}
+    copied_view.expire(NOW_S + 9 + REMOVAL_DELAY_AFTER_OUTAGE_S)
+    assert not copied_view.backends
+
+
 def test_evacuation_that_is_repeated_after_a_restore_holds(copied_view):
     _restore(copied_view)
     copied_view.apply([ZoneEvacuated("z1")], NOW_S + 10)
