--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 import pytest
 
@@ -121,3 +123,11 @@
     assert decode_delete("op/evacuate/z") == ZoneReturned("z")
     assert decode_delete("servers/i-1") == BackendUnlisted("i-1")
     assert decode_delete("op/other") is None
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED 27: large numbers of the configuration")
+@pytest.mark.parametrize("field", ["priority", "max-attempts", "top-k", "max-conns"])
+def test_configuration_with_a_number_that_cannot_be_passed_on_is_reported(field):
+    raw = msgspec.json.encode(CONFIG)
+    raw = re.sub(rb'("%b":)[0-9]+' % field.encode(), rb"\g<1>1" + b"0" * 30, raw, count=1)
+    assert isinstance(decode_put("op/config", raw), Unreadable)
