Refuse numbers of the configuration that cannot be passed on to other routers

Cause: the records bounded the version and the servers' numbers, but not these, and msgpack holds integers of 64 bits only. Encoding the view for a peer raised OverflowError.

Change: all integers of a configuration have the bounds of a server's record; durations and weights are bounded as well, as the sum of two weights of 1e308 is infinite, and a share of it is no number. A version beyond them is reported as unreadable with the field, at all routers alike.

--- a/fighinge/platform/records.py
+++ b/fighinge/platform/records.py
@@ -38,9 +38,13 @@
 MAX_SLOTS = 1_000_000
 MAX_COLD_LEFT_MS = 86_400_000.0
 MAX_PORT = 65_535
+MAX_DURATION_MS = 1e12  # 32 years
+MAX_WEIGHT = 1e12  # keeps the sum of all weights of a route finite
 
 Text = Annotated[str, msgspec.Meta(min_length=1)]
-Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 _INSTANCE_ID_PATTERN = re.compile(r"[!-~]{1,200}")  # sent as a header
 _ADDRESS_PATTERN = re.compile(r"([0-9.]+):([0-9]{1,5})")
 
@@ -51,7 +55,7 @@
 
 class _Split(_Record):
     service: Text
-    weight: Annotated[float, msgspec.Meta(ge=0)]
+    weight: Weight
 
 
 class _Route(_Record):
@@ -61,12 +65,12 @@
     kind: str
     timeout_ms: Milliseconds = 30_000
     latency_target_ms: Milliseconds = 1_000
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Integer = 0
+    max_attempts: Integer = 1
     service: str | None = None
     split: list[_Split] = []
     gather: list[Text] = []
-    top_k: int = 10
+    top_k: Integer = 10
     min_coverage: float = 1.0
 
     def decode(self) -> Route:
@@ -95,7 +99,7 @@
 class _Service(_Record):
     name: Text
     health_path: str = "/health"
-    max_conns: int = 16
+    max_conns: Integer = 16
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
 
@@ -106,8 +110,8 @@
 
 
 class _Limits(_Record):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 1_048_576
+    max_header_bytes: Integer = 16_384
+    max_body_bytes: Integer = 1_048_576
     header_timeout_ms: Milliseconds = 10_000
     idle_timeout_ms: Milliseconds = 60_000
 
@@ -140,9 +144,9 @@
     zone: Text
     state: Literal["ready", "draining"]
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
-    seq: Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+    seq: Integer
     cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_LEFT_MS)] = 0
-    born: Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)] = 0
+    born: Integer = 0
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -44,7 +44,7 @@
         },
     ],
     "services": [{"name": "a", "health-path": "/health", "max-conns": 36, "cold-per-s": 2.0}],
-    "limits": {"max-body-bytes": 262144, "idle-timeout-ms": 15000},
+    "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144, "idle-timeout-ms": 15000},
 }
 
 
@@ -125,9 +125,33 @@
     assert decode_delete("op/other") is None
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED 27: large numbers of the configuration")
-@pytest.mark.parametrize("field", ["priority", "max-attempts", "top-k", "max-conns"])
-def test_configuration_with_a_number_that_cannot_be_passed_on_is_reported(field):
+# A number that msgpack cannot hold kept the version from all routers that follow another one.
+@pytest.mark.parametrize("value", [b"1" + b"0" * 30, b"-1" + b"0" * 30])
+@pytest.mark.parametrize(
+    "field",
+    ["priority", "max-attempts", "top-k", "max-conns", "max-body-bytes", "max-header-bytes"],
+)
+def test_configuration_with_a_number_that_cannot_be_passed_on_is_reported(field, value):
     raw = msgspec.json.encode(CONFIG)
-    raw = re.sub(rb'("%b":)[0-9]+' % field.encode(), rb"\g<1>1" + b"0" * 30, raw, count=1)
-    assert isinstance(decode_put("op/config", raw), Unreadable)
+    raw = re.sub(rb'("%b":)[0-9]+' % field.encode(), lambda match: match[1] + value, raw, count=1)
+    change = decode_put("op/config", raw)
+    assert isinstance(change, Unreadable) and field in change.reason
+
+
+# The sum of such weights is infinite, and a share of it is no number.
+@pytest.mark.parametrize(
+    ("field", "value"), [("weight", b"1e308"), ("timeout-ms", b"1e308"), ("weight", b"-1")]
+)
+def test_configuration_with_a_number_beyond_its_bound_is_reported(field, value):
+    raw = msgspec.json.encode(CONFIG)
+    raw = re.sub(rb'("%b":)[0-9]+' % field.encode(), lambda match: match[1] + value, raw, count=1)
+    change = decode_put("op/config", raw)
+    assert isinstance(change, Unreadable) and field in change.reason
+
+
+def test_configuration_with_the_largest_numbers_can_be_passed_on():
+    raw = msgspec.json.encode(CONFIG)
+    for field in ("priority", "max-attempts", "top-k", "max-conns", "max-body-bytes"):
+        raw = re.sub(rb'("%b":)[0-9]+' % field.encode(), rb"\g<1>%d" % (2**63 - 1), raw, count=1)
+    change = decode_put("op/config", raw)
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(change), type=TablePublished) == change
