Ignore a Keep-Alive timeout of a server that is no number of seconds

What callers saw: nothing yet, by luck; the answer was given before the error. The connection was closed by an unexpected error, written to the event loop's handler, and a new one cost the next request 1 to 6 ms.

All other numbers that are read from the bytes of servers, the store and callers were gone through: X-Server-Load, Server-Limit, Retry-After, X-Cold-Ms, X-Deadline-Ms, Store-Era, records. They are bounded, or compared as floats whose errors are handled. No byte of a header's value or name that httptools accepts is refused when the answer is written (all 256 tried at both places).

Change: the timeout is 1 to 9 ASCII digits, or the default holds.

Evidence: without the change 4 of the new cases fail (a superscript, a digit before one, 400 and 5,000 digits), and the connection test shows the error; all pass with it.

--- a/fighinge/router/backend_connection.py
+++ b/fighinge/router/backend_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,7 @@
 KEEPALIVE_INTERVAL_S = 1  # the minimum that Linux accepts
 KEEPALIVE_PROBES = 2  # a single lost packet must not close a connection
 TCP_USER_TIMEOUT_MS = 2000  # the duration of the keep-alive probes
+_SECONDS_PATTERN = re.compile(r"[0-9]{1,9}")  # other characters are digits for str.isdigit
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))  # have a length even without a body
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -258,7 +260,7 @@
             continue
         for option in value.split(","):
             key, _, number = option.strip().partition("=")
-            if key == "timeout" and number.isdigit():
+            if key == "timeout" and _SECONDS_PATTERN.fullmatch(number):
                 return max(0.0, int(number) - KEEP_ALIVE_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
 
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -11,6 +11,11 @@
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
 from fighinge.router.backend_calls import PooledBackendCalls
+from fighinge.router.backend_connection import (
+    DEFAULT_IDLE_TIMEOUT_S,
+    KEEP_ALIVE_MARGIN_S,
+    idle_timeout_s,
+)
 from fighinge.router.exchange import BackendRequest
 from fighinge.router.response_parser import (
     MAX_RESPONSE_BYTES,
@@ -130,6 +135,37 @@
     assert _run(reply, exercise) == 2
 
 
+# A wrong byte or too many digits raised an error in the connection, after its answer was given.
+@pytest.mark.parametrize(
+    "number", ["\xb2", "1\xb9", "9" * 400, "9" * 5000, "-1", "", "1e3", "soon"]
+)
+def test_keep_alive_timeout_that_is_no_number_of_seconds_is_ignored(number):
+    headers = (("Keep-Alive", f"timeout={number}"),)
+    assert idle_timeout_s(headers) == DEFAULT_IDLE_TIMEOUT_S
+
+
+def test_keep_alive_timeout_is_read():
+    headers = (("Keep-Alive", "max=5, timeout=20"),)
+    assert idle_timeout_s(headers) == 20 - KEEP_ALIVE_MARGIN_S
+
+
+def test_connection_with_a_spoiled_keep_alive_timeout_carries_the_next_request():
+    async def reply(_head, writer):
+        raw = response(b"ok").replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=\xb2\r\n\r\n", 1)
+        writer.write(raw)
+        return True
+
+    async def exercise(calls, address, server):
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, context: errors.append(context))
+        for _ in range(3):
+            await calls.call(address, GET, 1.0, is_idempotent=True)
+        return server.opened_connections, errors
+
+    assert _run(reply, exercise) == (1, [])
+
+
 def test_surplus_bytes_after_a_response_match_no_request():
     async def reply(head, writer):
         writer.write(response(b"ok", X_Answers=header(head, "X-Request-Id")))
