Refuse settings that are nested too deeply or beyond their bounds, with the field

What operators saw: a settings file with a deeply nested field that the router doesn't know (new fields may come) ended the router by itself: at its start, and in the poll of the settings, whose task ends the process. A window of 0 s for the retry budget did so at the first request after a reload; a port of 65536 with an error of the event loop.

Change: settings are read like the store's records: nesting is a failure, numbers have bounds, and a port that is none is reported with the name of its field.

--- a/fighinge/platform/settings.py
+++ b/fighinge/platform/settings.py
@@ -4,13 +4,21 @@
 
 import os
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
+from fighinge.decoding import UNREADABLE_ERRORS
 from fighinge.errors import ErrorKind, Failure
 from fighinge.router.settings import RouterSettings
 
 SETTINGS_VARIABLE = "FIGHINGE_BOOT"
+MAX_NUMBER = 1e9  # of a setting; keeps sums and products of settings finite
+MAX_PORT = 65_535
+
+Number = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0, le=MAX_NUMBER)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 
 
 class _Section(msgspec.Struct, rename="kebab"):
@@ -31,19 +39,19 @@
     reference core, not a number of cores.
     """
 
-    cpu_share: float = 1.0
-    cores: float = 1.0
+    cpu_share: PositiveNumber = 1.0
+    cores: PositiveNumber = 1.0
 
 
 class _Bounds(_Section):
-    grace_s: float = 6.0
-    drain_ms: float = 3000
-    retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10.0
-    budget_slack: float = 0.0
-    cold_overage: float = 1.0
-    cold_slack: float = 0.0
-    ttl_max_s: float = 5.0
+    grace_s: Number = 6.0
+    drain_ms: Number = 3000
+    retry_budget_ratio: Number = 0.2
+    budget_window_s: PositiveNumber = 10.0
+    budget_slack: Number = 0.0
+    cold_overage: Number = 1.0
+    cold_slack: Number = 0.0
+    ttl_max_s: Number = 5.0
 
 
 class _Platform(_Section):
@@ -56,7 +64,7 @@
     zone: str
     listen: _Listen
     platform: _Platform
-    internal_port_range: tuple[int, int]
+    internal_port_range: tuple[Port, Port]
     zones: dict[str, str] = {}
     region: str = ""
     seeds: list[str] = []
@@ -80,7 +88,7 @@
         return _to_router_settings(raw)
     except OSError as error:
         return Failure(ErrorKind.BAD_REQUEST, f"cannot be read: {error}", str(path))
-    except (msgspec.DecodeError, ValueError) as error:
+    except (*UNREADABLE_ERRORS, ValueError) as error:
         return Failure(ErrorKind.BAD_REQUEST, str(error), str(path))
 
 
@@ -92,10 +100,10 @@
         zone=raw.zone,
         region=raw.region,
         region_by_zone=raw.zones,
-        caller_port=_parse_port(raw.listen.front),
-        readiness_port=_parse_port(raw.listen.ready),
-        address_port=_parse_port(raw.listen.directory),
-        control_port=_parse_port(raw.listen.control),
+        caller_port=_parse_port("listen.front", raw.listen.front),
+        readiness_port=_parse_port("listen.ready", raw.listen.ready),
+        address_port=_parse_port("listen.directory", raw.listen.directory),
+        control_port=_parse_port("listen.control", raw.listen.control),
         gossip_port=raw.internal_port_range[0],
         seeds=tuple(seed.rpartition(":")[0] for seed in raw.seeds),
         platform_address=raw.platform.address,
@@ -111,5 +119,14 @@
     )
 
 
-def _parse_port(address: str) -> int:
-    return int(address.rpartition(":")[2])
+def _parse_port(field: str, address: str) -> int:
+    """Return the port of an address.
+
+    :raises ValueError: if it has none, with the name of the field
+    """
+    text = address.rpartition(":")[2]
+    if not (text.isascii() and text.isdecimal() and len(text) <= len(str(MAX_PORT))):
+        raise ValueError(f"{field}: {address!r} does not end in a port")
+    if not 1 <= int(text) <= MAX_PORT:
+        raise ValueError(f"{field}: the port must be 1 to {MAX_PORT}")
+    return int(text)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 
 from fighinge.errors import Failure
 from fighinge.platform.settings import SETTINGS_VARIABLE, read_settings, settings_path
+from tests.platform.odd_records import DEEPLY_NESTED
 
 SETTINGS = {
     "node-name": "front-sa-east-1",
@@ -55,9 +56,40 @@
     assert field in failure.reason
 
 
-def test_invalid_port_is_rejected(tmp_path):
-    listen = SETTINGS["listen"] | {"front": "10.1.0.39:http"}
-    assert isinstance(_read(tmp_path, listen=listen), Failure)
+@pytest.mark.parametrize("port", ["http", "", "0", "65536", "9" * 5000, "-1", "²", "8_0", " 80"])
+@pytest.mark.parametrize("field", ["front", "ready", "control", "directory"])
+def test_invalid_port_is_reported_with_the_field(tmp_path, field, port):
+    listen = SETTINGS["listen"] | {field: f"10.1.0.39:{port}"}
+    failure = _read(tmp_path, listen=listen)
+    assert isinstance(failure, Failure)
+    assert f"listen.{field}" in failure.reason
+
+
+@pytest.mark.parametrize(
+    ("section", "field", "value"),
+    [
+        ("bounds", "budget-window-s", 0),
+        ("bounds", "budget-window-s", -1),
+        ("bounds", "retry-budget-ratio", 1e300),
+        ("bounds", "grace-s", -1),
+        ("limits", "cpu-share", 0),
+    ],
+)
+def test_number_beyond_its_bound_is_reported_with_the_field(tmp_path, section, field, value):
+    failure = _read(tmp_path, **{section: {field: value}})
+    assert isinstance(failure, Failure)
+    assert field in failure.reason
+
+
+# Such a field ended the router at its start, and in the poll of the settings later on.
+@pytest.mark.parametrize("field", ["unknown", "node-name", "limits"])
+def test_deeply_nested_settings_are_reported(tmp_path, field):
+    path = tmp_path / "node.json"
+    raw = msgspec.json.encode(SETTINGS | {field: "(replaced)"})
+    path.write_bytes(raw.replace(b'"(replaced)"', DEEPLY_NESTED))
+    failure = read_settings(path)
+    assert isinstance(failure, Failure)
+    assert failure.field == str(path) and failure.reason
 
 
 def test_missing_file_is_reported(tmp_path):
