Wait for an address that another process holds, instead of ending the router

Cause: the error of the kernel went up to the end of the process, or ended the membership's task, which ends the process too. A process that ends slowly holds its ports for a moment.

Change: each address is tried again every 0.2 s for 30 s while it is in use, with log lines at the first try and at the success. The router is not ready and names no addresses meanwhile; after 30 s it ends with the kernel's reason and exit code 3, so that an operator's mistake is not hidden. SIGTERM ends the wait.

Evidence: without the change all 7 tests with real processes fail (the router ended, and was not ready within 15 s); they pass with it.

--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -87,6 +87,7 @@
         "_clock",
         "_codec",
         "_has_left",
+        "_is_open",
         "_ports",
         "_queue",
         "_random",
@@ -132,6 +133,7 @@
         self._unreachable: list[GossipAddress] = []
         self._unreachable_as_of = -1
         self._has_left = False
+        self._is_open = False
         self.table.listen(self._enqueue)
         board.listen(self._enqueue)
         store.listen(lambda _accepted: self.announce_configuration())
@@ -141,12 +143,21 @@
         """Return the gossip address of this process."""
         return self._ports.address(self.table.local_member.role, self.table.local_member.host)
 
+    async def open(self) -> None:
+        """Start to receive datagrams; :meth:`run` does so if it was not done before.
+
+        :raises OSError: if the gossip address is in use
+        """
+        await self._transport.open(self.receive)
+        self._is_open = True
+
     async def run(self) -> None:
         """Receive and send datagrams until the task is cancelled.
 
         :raises OSError: if the gossip address is in use
         """
-        await self._transport.open(self.receive)
+        if not self._is_open:
+            await self.open()
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.failure_detector.run())
--- a/fighinge/platform/run.py
+++ b/fighinge/platform/run.py
@@ -22,6 +22,7 @@
 
 METRICS_PORT_OFFSET = 1  # the first internal port is used for gossip between routers
 EXIT_INVALID_SETTINGS = 2
+EXIT_NOT_LISTENING = 3
 
 
 def router(*, settings_file: Path | None = None, check_settings: bool = False) -> None:
@@ -39,13 +40,18 @@
         print(f"{path}: ok")
         return
     logging.getLogger().setLevel(logging.CRITICAL)
-    asyncio.run(serve(settings, path))
+    try:
+        asyncio.run(serve(settings, path))
+    except OSError as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_NOT_LISTENING)
 
 
 async def serve(settings: RouterSettings, path: Path) -> None:
     """Serve callers until the process receives SIGTERM.
 
     :param path: the settings file, which is read again after a change
+    :raises OSError: if an address cannot be opened, or is in use for too long
     """
     log = DecisionLog(steady_clock, time.time)
     prefixes = {Topic.CONFIGURATION: OPERATOR_PREFIX, Topic.BACKENDS: SERVERS_PREFIX}
@@ -54,12 +60,21 @@
         for topic, prefix in prefixes.items()
     }
     process = Router(settings, PlatformCodec(), sources, log, partial(read_settings, path))
-    process.start()
-    start_servers(process, settings.gossip_port + METRICS_PORT_OFFSET)
-    await process.stop_request.wait()
+    starting = asyncio.create_task(_start(process))
+    stopping = asyncio.create_task(process.stop_request.wait())
+    await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+    if starting.done():
+        starting.result()
+        await stopping
+    starting.cancel()
     await process.stop()
 
 
+async def _start(process: Router) -> None:
+    await process.start()
+    await start_servers(process, process.settings.gossip_port + METRICS_PORT_OFFSET)
+
+
 def main() -> None:
     """Run the command, without loading the option parser if there are no options.
 
--- a/fighinge/platform/servers.py
+++ b/fighinge/platform/servers.py
@@ -58,10 +58,10 @@
         self.finish(generate_latest())
 
 
-def start_servers(router: Router, metrics_port: int) -> list[HTTPServer]:
+async def start_servers(router: Router, metrics_port: int) -> list[HTTPServer]:
     """Start the servers for the platform's requests.
 
-    :raises OSError: if an address is already in use
+    :raises OSError: if an address cannot be opened, or is in use for too long
     """
     settings = router.settings
     context = {"router": router}
@@ -73,6 +73,6 @@
     servers = []
     for port, routes in routes_by_port.items():
         server = HTTPServer(Application(routes, log_function=lambda _handler: None))
-        server.listen(port, settings.address)
+        await router.listen(server.listen, port)
         servers.append(server)
     return servers
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -23,6 +23,7 @@
 from fighinge.router.forwarding import Forwarder, forwarding_routes
 from fighinge.router.handover import Handover
 from fighinge.router.http_server import CallerServer
+from fighinge.router.listening import open_when_free
 from fighinge.router.metrics import ROUTERS, STORE_ERA, VERSION, VIEW_AGE
 from fighinge.router.peer_follower import PeerFollower, ReaderRole
 from fighinge.router.peers import Peers
@@ -38,7 +39,7 @@
 from fighinge.stop import StopRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Mapping
+    from collections.abc import Awaitable, Callable, Coroutine, Mapping
 
     from fighinge.router.changes import ViewSource
     from fighinge.router.decision_log import DecisionLog
@@ -158,17 +159,17 @@
             and not self.caller_server.is_closing
         )
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Listen and start to follow the sources.
 
-        :raises OSError: if an address is already in use
+        :raises OSError: if an address cannot be opened, or is in use for too long
         """
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
         for follower in self._followers.values():
             self.spawn(follower.run())
         self.spawn(self._poll_settings())
         self.spawn(self._peer_follower.run())
-        self.spawn(self.peers.membership.run())
+        self.spawn(self._run_membership())
         self.spawn(self.pauses.run(self._observe_lag))
         self.spawn(self._run_housekeeping())
         self.spawn(self._reachability.run())
@@ -176,8 +177,8 @@
         control = Application(
             [*relay_routes(self.relay), *forwarding], log_function=_discard_access_log
         )
-        control.listen(self.settings.control_port, self.settings.address)
-        self.caller_server.listen(self.settings.caller_port, self.settings.address)
+        await self.listen(control.listen, self.settings.control_port)
+        await self.listen(self.caller_server.listen, self.settings.caller_port)
         self.log.write(
             "started",
             name=self.settings.name,
@@ -186,6 +187,20 @@
             seeds=self.settings.seeds,
         )
 
+    async def listen(self, listen: Callable[[int, str], object], port: int) -> None:
+        """Have a server listen on a port of this router's address, as soon as it is free.
+
+        :raises OSError: if it cannot be opened, or is in use for too long
+        """
+
+        async def open_address() -> None:
+            listen(port, self.settings.address)
+
+        await self._open(open_address, port)
+
+    async def _open(self, open_address: Callable[[], Awaitable[None]], port: int) -> None:
+        await open_when_free(open_address, f"{self.settings.address}:{port}", self.log)
+
     def reload(self) -> None:
         """Read the settings again and apply those that do not need a restart."""
         settings = self._read_settings()
@@ -236,6 +251,11 @@
         self._forwarder.close()
         self.log.flush()
 
+    async def _run_membership(self) -> None:
+        membership = self.peers.membership
+        await self._open(membership.open, self.settings.gossip_port)
+        await membership.run()
+
     async def _run_housekeeping(self) -> None:
         """Periodically expire state and update limits and metrics."""
         while True:
--- /dev/null
+++ b/tests/platform/test_start.py
@@ -0,0 +1,69 @@
+"""Tests of the start of router processes: early signals and addresses that are in use."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+
+import pytest
+
+from tests.platform.fleet import (
+    ADDRESS_PORT,
+    CONTROL_PORT,
+    FRONT_PORT,
+    GOSSIP_PORT,
+    READY_PORT,
+    START_TIMEOUT_S,
+    run_on_fleet,
+    wait_until,
+)
+
+TAKEN_S = 1.0
+STOP_S = 5.0
+
+
+# A router whose address an earlier process still held ended by itself, again at each restart.
+@pytest.mark.parametrize(
+    ("port", "kind"),
+    [
+        *((port, socket.SOCK_STREAM) for port in (FRONT_PORT, READY_PORT, ADDRESS_PORT)),
+        *((port, socket.SOCK_STREAM) for port in (CONTROL_PORT, GOSSIP_PORT + 1)),
+        (GOSSIP_PORT, socket.SOCK_DGRAM),
+    ],
+)
+def test_router_waits_for_an_address_that_is_in_use(port, kind, tmp_path):
+    async def work(fleet):
+        fleet.signal(0, signal.SIGKILL)
+        await fleet.exited(0, STOP_S)
+        with socket.socket(socket.AF_INET, kind) as holder:
+            holder.bind((fleet.address(0), port))
+            if kind is socket.SOCK_STREAM:
+                holder.listen()
+            fleet.start_router(0)
+            await asyncio.sleep(TAKEN_S)
+            is_running = fleet.processes[0].poll() is None
+        await fleet.ready(0)
+
+        async def is_open() -> bool:
+            return "address opened" in [line["event"] for line in fleet.lines(0)]
+
+        await wait_until(is_open, START_TIMEOUT_S)
+        return is_running, (await fleet.ask(0, "/one/x"))[1].status
+
+    assert run_on_fleet(tmp_path, work) == (True, 200)
+
+
+def test_router_that_waits_for_an_address_can_be_stopped(tmp_path):
+    async def work(fleet):
+        fleet.signal(0, signal.SIGKILL)
+        await fleet.exited(0, STOP_S)
+        with socket.socket() as holder:
+            holder.bind((fleet.address(0), FRONT_PORT))
+            holder.listen()
+            fleet.start_router(0)
+            await asyncio.sleep(TAKEN_S)
+            fleet.signal(0, signal.SIGTERM)
+            return await fleet.exited(0, STOP_S)
+
+    assert run_on_fleet(tmp_path, work) == 0
