Ignore SIGHUP from the first statement of a router's start, before its site module

Cause: the default action of SIGHUP ends the process until the first statement of ours runs.

Change: the deploy file starts a file without the site module (-S), whose first statement ignores SIGHUP by the built-in module _signal; then the site module is loaded as before. Weighed: `-S -m` (20 ms: runpy's imports come first); `-I` (saves nothing more and ignores the platform's PYTHONPATH).

Evidence: with a pipe that holds the process in its site module, the test fails with the old command (exit code -1) and passes with the new one.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -29,6 +29,7 @@
 HOST = "search.example"
 STOP_TIMEOUT_S = 6
 POLL_INTERVAL_S = 0.03
+ROUTER_COMMAND = (sys.executable, "-S", "fighinge/platform/start.py")  # of deploy/system.toml
 _networks = itertools.count(60)
 
 
@@ -141,7 +142,7 @@
         path.write_bytes(msgspec.json.encode(settings))
         with open(self.directory / f"router-{number}.log", "ab") as output:
             self.processes[number] = subprocess.Popen(
-                [sys.executable, "-m", "fighinge.platform", "--settings-file", str(path)],
+                [*ROUTER_COMMAND, "--settings-file", str(path)],
                 stdout=output,
                 stderr=output,
             )
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import socket
+import subprocess
+import tomllib
+from pathlib import Path
 
+import msgspec
 import pytest
 
 from tests.platform.fleet import (
@@ -14,13 +19,39 @@
     FRONT_PORT,
     GOSSIP_PORT,
     READY_PORT,
+    ROUTER_COMMAND,
     START_TIMEOUT_S,
+    router_settings,
     run_on_fleet,
     wait_until,
 )
 
 TAKEN_S = 1.0
 STOP_S = 5.0
+SITE_CUSTOMIZATION = "open({path!r}).read()\n"
+
+
+def test_fleet_starts_routers_with_the_command_of_the_deploy_file():
+    deployed = tomllib.loads(Path("deploy/system.toml").read_text())["roles"]["router"]["run"]
+    assert tuple(deployed.split()[1:]) == ROUTER_COMMAND[1:]
+
+
+# SIGHUP ended a router in the first 50 ms, which the interpreter spends on its site module.
+def test_sighup_while_the_interpreter_loads_its_site_module_ends_no_router(tmp_path):
+    """A pipe that a site customization reads holds the process until the signal has been sent."""
+    pipe = tmp_path / "pipe"
+    os.mkfifo(pipe)
+    (tmp_path / "sitecustomize.py").write_text(SITE_CUSTOMIZATION.format(path=str(pipe)))
+    settings = tmp_path / "node.json"
+    settings.write_bytes(msgspec.json.encode(router_settings("127.0.0.1", 0, "127.0.0.1:1")))
+    process = subprocess.Popen(
+        [*ROUTER_COMMAND, "--settings-file", str(settings), "--check-settings"],
+        env=os.environ | {"PYTHONPATH": str(tmp_path)},
+        stderr=subprocess.DEVNULL,
+    )
+    with open(pipe, "w"):
+        process.send_signal(signal.SIGHUP)
+    assert process.wait(START_TIMEOUT_S) == 0
 
 
 # A router whose address an earlier process still held ended by itself, again at each restart.
