Take an unexpected error in reading a source for a failure of that source

The known errors are handled where records are decoded; the next one that nobody thought of would do the same, as an unexpected error in any background task ends the process.

Cause: nothing stood between what others write and the end of the process but the list of known errors.

Change: an error in reading or decoding the store's responses counts as a failure of the store, an error in reading the settings anew as refused settings. At these points nothing has been applied, so that reading everything anew is whole again; meanwhile the view counts as stale. Each error is logged with its place in the code.

Evidence: a source that raises OverflowError in a read and RecursionError in a watch ended the follower; 2 new tests fail without the change and pass with it (tests/router/test_follower.py).

--- a/fighinge/router/decision_log.py
+++ b/fighinge/router/decision_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import traceback
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -89,3 +90,8 @@
             if written < len(data):
                 self._buffer.appendleft(data[written:])
                 return
+
+
+def describe_error(error: Exception) -> str:
+    """Return an unexpected error for the log, with its place in the code."""
+    return "".join(traceback.format_exception(error)[-2:])
--- a/fighinge/router/follower.py
+++ b/fighinge/router/follower.py
@@ -5,13 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from fighinge.errors import Failure
+from fighinge.errors import ErrorKind, Failure
 from fighinge.router.cancellable_call import CancellableCall
 from fighinge.router.changes import HistoryLost
+from fighinge.router.decision_log import describe_error
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from fighinge.router.changes import ViewSource
     from fighinge.router.view import Topic, View
@@ -80,7 +81,7 @@
                 await self._watch(self._revision)
 
     async def _read(self) -> None:
-        snapshot = await self._source.read_all()
+        snapshot = await self._guard(self._source.read_all())
         now_s = self._clock()
         if isinstance(snapshot, Failure):
             await self._handle_failure(snapshot, now_s)
@@ -91,7 +92,8 @@
         self._revision = snapshot.revision
 
     async def _watch(self, revision: int) -> None:
-        changes = await self._call.wait(self._source.watch(revision, self._watch_timeout_s()))
+        watch = self._source.watch(revision, self._watch_timeout_s())
+        changes = await self._call.wait(self._guard(watch))
         if changes is None:
             self._revision = None
             return
@@ -115,6 +117,22 @@
         if changes.changes:
             await asyncio.sleep(CHANGE_BATCH_S)
 
+    async def _guard(self, call: Coroutine):
+        """Return the result of a call, or a failure for an unexpected error.
+
+        What a source sends must not end the process. Nothing of it has been applied at this point,
+        and the next call reads everything anew.
+        """
+        try:
+            return await call
+        except Exception as error:
+            self._revision = None
+            reason = describe_error(error)
+            self._view.log.write(
+                "source failed unexpectedly", topic=self._topic.value, error=reason
+            )
+            return Failure(ErrorKind.INTERNAL, reason, "source")
+
     def _watch_timeout_s(self) -> float:
         if not self._view.is_source_reachable(self._topic):
             return RECONNECT_WATCH_TIMEOUT_S
--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -248,4 +248,5 @@
             return msgspec.msgpack.decode(response.body, type=message_type)
         except UNREADABLE_ERRORS as error:
             self._view.log.write("peer's view unreadable", peer=peer.host, reason=str(error))
+            self._avoid_until_s[peer.host] = self._clock() + FAILED_PEER_AVOID_S
             return None
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -19,6 +19,7 @@
 from fighinge.router.cold_limit import ColdLimits
 from fighinge.router.crash_check import CrashCheck
 from fighinge.router.crash_suspects import CrashSuspects
+from fighinge.router.decision_log import describe_error
 from fighinge.router.follower import Follower
 from fighinge.router.forwarding import Forwarder, forwarding_routes
 from fighinge.router.handover import Handover
@@ -203,7 +204,11 @@
 
     def reload(self) -> None:
         """Read the settings again and apply those that do not need a restart."""
-        settings = self._read_settings()
+        try:
+            settings = self._read_settings()
+        except Exception as error:
+            self.log.write("settings refused", field="", reason=describe_error(error))
+            return
         if isinstance(settings, Failure):
             self.log.write("settings refused", field=settings.field, reason=settings.reason)
             return
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import traceback
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from fighinge.errors import ERROR_PROPERTIES, ErrorKind, Failure
 from fighinge.router.crash_suspects import request_fingerprint
+from fighinge.router.decision_log import describe_error
 from fighinge.router.exchange import Answer, BackendResponse, CallerRequest, MergedAnswer
 from fighinge.router.gather import GatherCall
 from fighinge.router.metrics import observe_request
@@ -92,7 +92,7 @@
                 "request failed unexpectedly",
                 request=request.request_id,
                 path=request.path,
-                error="".join(traceback.format_exception(error)[-2:]),
+                error=describe_error(error),
             )
             failure = Failure(ErrorKind.INTERNAL, "an unexpected error, see this router's log")
             return self._finish(request, None, self._view.version, failure, "")
--- a/tests/router/test_follower.py
+++ b/tests/router/test_follower.py
@@ -155,3 +155,74 @@
         return before, set(view.backends)
 
     assert run(follow()) == ({"i1"}, set())
+
+
+class FaultySource:
+    """Raises an unexpected error in its first read and in its first watch."""
+
+    def __init__(self) -> None:
+        self.reads = self.watches = 0
+
+    async def read_all(self):
+        """Fail the first read, and return a later version in each further one."""
+        self.reads += 1
+        if self.reads == 1:
+            raise OverflowError("a value that nobody expected")
+        return Snapshot(
+            self.reads, (TablePublished(table(route(), version=self.reads)),), self.reads
+        )
+
+    async def watch(self, after_revision, wait_s):
+        """Fail the first watch, and return nothing in later ones."""
+        self.watches += 1
+        if self.watches == 1:
+            raise RecursionError("a value that nobody expected")
+        await asyncio.sleep(wait_s)
+        return Changes(after_revision, ())
+
+
+# An error that nobody thought of in what the store sends ended the router, again at each restart.
+def test_unexpected_error_in_reading_the_source_counts_as_its_failure():
+    async def follow():
+        view = View(MemoryLog())
+        source = FaultySource()
+        clock = asyncio.get_running_loop().time
+        follower = Follower(source, Topic.CONFIGURATION, view, clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await _until(lambda: source.watches > 1)
+        is_running = not task.done()
+        task.cancel()
+        return view, source, is_running
+
+    view, source, is_running = run(follow())
+    assert is_running
+    assert (view.version, source.reads) == (3, 3)  # after each error everything is read anew
+    assert view.is_source_reachable(Topic.CONFIGURATION)
+    errors = [line for line in view.log.lines if line["event"] == "source failed unexpectedly"]
+    assert len(errors) == 2 and all("nobody expected" in line["error"] for line in errors)
+
+
+def test_source_that_fails_unexpectedly_is_not_taken_for_fresh():
+    class AlwaysFaultySource(FaultySource):
+        async def watch(self, after_revision, wait_s):
+            raise RecursionError("a value that nobody expected")
+
+        async def read_all(self):
+            self.reads += 1
+            if self.reads > 1:
+                raise OverflowError("a value that nobody expected")
+            return Snapshot(1, (TablePublished(table(route(), version=1)),), 1)
+
+    async def follow():
+        view = View(MemoryLog())
+        source = AlwaysFaultySource()
+        clock = asyncio.get_running_loop().time
+        follower = Follower(source, Topic.CONFIGURATION, view, clock, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(10.0)
+        task.cancel()
+        return view, source
+
+    view, source = run(follow())
+    assert view.version == 1 and not view.is_fresh(Topic.CONFIGURATION)
+    assert source.reads < 40  # with a pause between two tries
