Log the place in the code of an error that ends a background task

An operator reported processes that ended by themselves and kept no logs. Of such an end the log held the error's type and text, but not where it was raised, so that two causes with the same text could not be told apart. The line "background task failed" has the place now, like those of requests and sources.

--- a/fighinge/router/decision_log.py
+++ b/fighinge/router/decision_log.py
@@ -92,6 +92,6 @@
                 return
 
 
-def describe_error(error: Exception) -> str:
+def describe_error(error: BaseException) -> str:
     """Return an unexpected error for the log, with its place in the code."""
     return "".join(traceback.format_exception(error)[-2:])
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -325,7 +325,8 @@
 
     def _handle_task_end(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
+        error = None if task.cancelled() else task.exception()
+        if error is None:
             return
-        self.log.write("background task failed", error=repr(task.exception()))
+        self.log.write("background task failed", error=describe_error(error))
         self.stop_request.trigger()
