Read the settings again at the start if they are being written

What operators saw: reported is "the system didn't start, or its processes ended by themselves"; no logs were kept, and that it was this is not shown. A router that starts while its settings file is missing, empty or half written ended at once with exit code 2.

Cause: the platform writes the file at each start and at each change, in no stated way; reading it took one try.

Change: the file is read again every 0.1 s for 2 s before the start is given up, with the reason, as before. `--check-settings` answers at once.

--- a/fighinge/platform/run.py
+++ b/fighinge/platform/run.py
@@ -23,6 +23,8 @@
 METRICS_PORT_OFFSET = 1  # the first internal port is used for gossip between routers
 EXIT_INVALID_SETTINGS = 2
 EXIT_NOT_LISTENING = 3
+SETTINGS_RETRY_INTERVAL_S = 0.1
+MAX_SETTINGS_RETRIES = 20  # 2 s; writing a file of some KB takes milliseconds
 
 
 def router(*, settings_file: Path | None = None, check_settings: bool = False) -> None:
@@ -32,7 +34,8 @@
     :param check_settings: check the settings and exit
     """
     path = settings_file or settings_path()
-    settings = path if isinstance(path, Failure) else read_settings(path)
+    retries = 0 if check_settings else MAX_SETTINGS_RETRIES
+    settings = path if isinstance(path, Failure) else _read_settings_at_start(path, retries)
     if isinstance(settings, Failure):
         print(f"error: {settings.field}: {settings.reason}", file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
@@ -47,6 +50,17 @@
         sys.exit(EXIT_NOT_LISTENING)
 
 
+def _read_settings_at_start(path: Path, retries: int) -> RouterSettings | Failure:
+    """Return the settings; a file that cannot be read may be about to be written."""
+    settings = read_settings(path)
+    for _ in range(retries):
+        if not isinstance(settings, Failure):
+            break
+        time.sleep(SETTINGS_RETRY_INTERVAL_S)
+        settings = read_settings(path)
+    return settings
+
+
 async def serve(settings: RouterSettings, path: Path) -> None:
     """Serve callers until the process receives SIGTERM.
 
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -132,14 +132,18 @@
         await self.store.put("op/config", config)
         return self.version
 
-    def start_router(self, number: int) -> None:
-        """Start a router process whose output goes to a separate file."""
+    def start_router(self, number: int, *, writes_settings: bool = True) -> None:
+        """Start a router process whose output goes to a separate file.
+
+        :param writes_settings: whether its settings file is written, or is left as it is
+        """
         address = self.address(number)
         seeds = [self.address(seed) for seed in range(3)]
         platform = f"127.{self.network}.9.1:8229"
         settings = router_settings(address, number, platform, seeds)
         path = self.directory / f"node-{number}.json"
-        path.write_bytes(msgspec.json.encode(settings))
+        if writes_settings:
+            path.write_bytes(msgspec.json.encode(settings))
         with open(self.directory / f"router-{number}.log", "ab") as output:
             self.processes[number] = subprocess.Popen(
                 [*ROUTER_COMMAND, "--settings-file", str(path)],
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -13,6 +13,7 @@
 import msgspec
 import pytest
 
+from fighinge.platform.run import EXIT_INVALID_SETTINGS
 from tests.platform.fleet import (
     ADDRESS_PORT,
     CONTROL_PORT,
@@ -54,6 +55,43 @@
     assert process.wait(START_TIMEOUT_S) == 0
 
 
+# The platform writes the file at each start and at each change, and not in one step.
+@pytest.mark.parametrize("share", [None, 0.0, 0.5])
+def test_router_that_starts_while_its_settings_are_written_reads_them_whole(share, tmp_path):
+    """Without a share of the file there is none at first."""
+
+    async def work(fleet):
+        fleet.signal(0, signal.SIGKILL)
+        await fleet.exited(0, STOP_S)
+        path = tmp_path / "node-0.json"
+        whole = path.read_bytes()
+        if share is None:
+            path.unlink()
+        else:
+            path.write_bytes(whole[: int(share * len(whole))])
+        fleet.start_router(0, writes_settings=False)
+        await asyncio.sleep(TAKEN_S)
+        is_running = fleet.processes[0].poll() is None
+        path.write_bytes(whole)
+        await fleet.ready(0)
+        return is_running, (await fleet.ask(0, "/one/x"))[1].status
+
+    assert run_on_fleet(tmp_path, work) == (True, 200)
+
+
+def test_router_without_valid_settings_ends_with_the_reason(tmp_path):
+    path = tmp_path / "node.json"
+    path.write_bytes(b"{}")
+    process = subprocess.run(
+        [*ROUTER_COMMAND, "--settings-file", str(path)],
+        stderr=subprocess.PIPE,
+        timeout=START_TIMEOUT_S,
+        check=False,
+    )
+    assert process.returncode == EXIT_INVALID_SETTINGS
+    assert b"node-name" in process.stderr
+
+
 # A router whose address an earlier process still held ended by itself, again at each restart.
 @pytest.mark.parametrize(
     ("port", "kind"),
