--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+
+import pytest
 
 from tests.platform.fleet import HOST, run_on_fleet
+from tests.platform.store_faults import AWAY_S, REPEAT_S
 
-AWAY_S = 1.0
+SILENT_S = 1.0
 APPLY_S = 3.0
 REQUESTS = 20
 
@@ -27,7 +31,7 @@
         await fleet.configure()
         await asyncio.sleep(1.0)
         fleet.store.fault = "silent"
-        await asyncio.sleep(AWAY_S)
+        await asyncio.sleep(SILENT_S)
         await fleet.store.restore(copied)
         fleet.store.fault = ""
         moved = {"name": "moved", "prefix": "/one/x/", "kind": "idempotent", "service": "shard0"}
@@ -39,3 +43,65 @@
         return first, await _services_of_requests(fleet)
 
     assert run_on_fleet(tmp_path, work) == ({"shard0"}, {"single"})
+
+
+async def _restore(fleet, copied) -> None:
+    """Let the store be away for a moment, come back from a copy, and get what that lacks again."""
+    fleet.store.fault = "reset"
+    await asyncio.sleep(AWAY_S)
+    lost = fleet.store.copy()
+    await fleet.store.restore(copied)
+    fleet.store.fault = ""
+    await asyncio.sleep(REPEAT_S)
+    await fleet.store.write_again(lost, copied)
+
+
+async def _publish_moved(fleet) -> None:
+    moved = {"name": "moved", "prefix": "/one/x/", "kind": "idempotent", "service": "shard0"}
+    await fleet.configure(routes=[{"host": HOST, "max-attempts": 2} | moved])
+
+
+def test_each_restore_costs_at_most_one_read_of_each_topic_by_each_router(tmp_path):
+    routers, topics, restores = 3, 2, 2
+
+    async def work(fleet):
+        fleet.store.calls.clear()
+        for _ in range(restores):
+            copied = fleet.store.copy()
+            await fleet.configure()
+            await asyncio.sleep(1.0)
+            await _restore(fleet, copied)
+        await asyncio.sleep(SILENT_S)
+        reads = fleet.store.calls.count("/v1/kv-range")
+        await _publish_moved(fleet)
+        await asyncio.sleep(APPLY_S)
+        return reads, await _services_of_requests(fleet)
+
+    reads, services = run_on_fleet(tmp_path, work, routers=routers)
+    assert services == {"shard0"}
+    assert reads <= routers * topics * restores
+
+
+@pytest.mark.parametrize("disturbance", ["cut off from the store", "killed", "stopped"])
+def test_version_that_follows_a_restored_copy_is_in_force_at_a_disturbed_router(
+    disturbance, tmp_path
+):
+    async def work(fleet):
+        copied = fleet.store.copy()
+        await fleet.configure()
+        await asyncio.sleep(1.0)
+        if disturbance != "cut off from the store":
+            fleet.signal(0, signal.SIGKILL if disturbance == "killed" else signal.SIGTERM)
+            await fleet.exited(0, 7.0)
+            fleet.start_router(0)
+        await _restore(fleet, copied)
+        if disturbance == "cut off from the store":
+            fleet.store.fault, fleet.store.affected_callers = "silent", {fleet.address(0)}
+            await asyncio.sleep(APPLY_S)
+            fleet.store.fault, fleet.store.affected_callers = "", set()
+        await fleet.ready(0)
+        await _publish_moved(fleet)
+        await asyncio.sleep(APPLY_S)
+        return await _services_of_requests(fleet)
+
+    assert run_on_fleet(tmp_path, work) == {"shard0"}
