--- a/tests/router/peer_messages.py
+++ b/tests/router/peer_messages.py
@@ -31,13 +31,18 @@
 from fighinge.router.relay import PeerChanges, PeerView, Watermarks
 from tests.router.builders import backend_record, gather_route, route, table
 
+ERAS = {"configuration": 3, "backends": 2}
 PEER = Member(Role.ENTRY, "10.0.0.2", "z1", 7, leaving=True, is_cut_off=True)
 
 
-def peer_messages() -> dict[str, msgspec.Struct]:
-    """Return a message of each kind that routers send each other over HTTP, by a name."""
+def peer_messages(*, has_eras: bool = False) -> dict[str, msgspec.Struct]:
+    """Return a message of each kind that routers send each other over HTTP, by a name.
+
+    :param has_eras: whether it holds the store's eras, which routers of ca2e048 do not know
+    """
+    eras = ERAS if has_eras else {}
     watermarks = Watermarks(
-        {"configuration": 40, "backends": 42}, {"configuration": 30, "backends": 41}
+        {"configuration": 40, "backends": 42}, {"configuration": 30, "backends": 41}, eras, eras
     )
     published = table(route(), gather_route(), version=9)
     listed = backend_record("i1", is_draining=True, started_ms=1_764_800_000_000)
@@ -76,22 +81,25 @@
     }
 
 
-def datagrams() -> dict[str, Datagram]:
+def datagrams(*, has_eras: bool = False) -> dict[str, Datagram]:
     """Return a datagram with each kind of gossip message, by the name of the kind."""
     messages = (
         *(Gossip(), Ping(3), Ack(3), PingRequest(4, PEER), DigestExchange(b"\x01" * 256, True)),
         *(ConfigurationRequest(8, b"d", 0), ConfigurationChunk(b"d", 0, 1, b"content")),
     )
     facts = tuple(FactRecord(kind, "key", "value", 5.0) for kind in FactKind)
-    summary = ConfigurationSummary(9, b"\x02" * 16, True)
+    eras = tuple(ERAS.values()) if has_eras else ()
+    summary = ConfigurationSummary(9, b"\x02" * 16, True, eras=eras)
     return {
         type(message).__name__: Datagram(PEER, summary, message, (PEER,), facts)
         for message in messages
     }
 
 
-def encoded_messages() -> dict[str, bytes]:
+def encoded_messages(*, has_eras: bool = False) -> dict[str, bytes]:
     """Return the encoded form of each message, by its name."""
-    encoded = {name: msgspec.msgpack.encode(message) for name, message in peer_messages().items()}
+    messages = peer_messages(has_eras=has_eras)
+    encoded = {name: msgspec.msgpack.encode(message) for name, message in messages.items()}
     codec = Codec()
-    return encoded | {name: codec.encode(datagram) for name, datagram in datagrams().items()}
+    sent = datagrams(has_eras=has_eras)
+    return encoded | {name: codec.encode(datagram) for name, datagram in sent.items()}
--- a/tests/router/test_mixed_versions.py
+++ b/tests/router/test_mixed_versions.py
@@ -1,6 +1,7 @@
-"""Tests that routers of this build and of the one in production read each other's messages.
+"""Tests that routers of this build and of those in production read each other's messages.
 
-``messages_ca2e048.json`` has the messages of ``peer_messages`` as that commit encoded them.
+``messages_COMMIT.json`` has the messages of ``peer_messages`` as that commit encoded them. Routers
+of ca2e048 do not know the store's eras, those of 3f186fd do.
 """
 
 from __future__ import annotations
@@ -13,12 +14,17 @@
 from fighinge.membership.messages import CHECKSUM_BYTES, MAGIC, Codec
 from tests.router.peer_messages import datagrams, encoded_messages, peer_messages
 
-PRODUCTION = {
-    name: bytes.fromhex(text)
-    for name, text in msgspec.json.decode(
-        Path(__file__).with_name("messages_ca2e048.json").read_bytes()
-    ).items()
-}
+HAS_ERAS = {"ca2e048": False, "3f186fd": True}
+
+
+def _read_messages(build: str) -> dict[str, bytes]:
+    path = Path(__file__).with_name(f"messages_{build}.json")
+    texts = msgspec.json.decode(path.read_bytes())
+    return {name: bytes.fromhex(text) for name, text in texts.items()}
+
+
+PRODUCTION = {build: _read_messages(build) for build in HAS_ERAS}
+BUILDS = pytest.mark.parametrize("build", HAS_ERAS)
 
 
 def _extends(new: object, old: object) -> bool:
@@ -39,21 +45,26 @@
     )
 
 
-def test_all_kinds_of_messages_are_compared():
-    assert set(PRODUCTION) == set(encoded_messages())
+@BUILDS
+def test_all_kinds_of_messages_are_compared(build):
+    assert set(PRODUCTION[build]) == set(encoded_messages())
 
 
+@BUILDS
 @pytest.mark.parametrize("name", peer_messages())
-def test_message_of_the_production_build_is_read(name):
-    message = peer_messages()[name]
-    assert msgspec.msgpack.decode(PRODUCTION[name], type=type(message)) == message
+def test_message_of_a_production_build_is_read(build, name):
+    message = peer_messages(has_eras=HAS_ERAS[build])[name]
+    assert msgspec.msgpack.decode(PRODUCTION[build][name], type=type(message)) == message
 
 
+@BUILDS
 @pytest.mark.parametrize("name", datagrams())
-def test_datagram_of_the_production_build_is_read(name):
-    assert Codec().decode(PRODUCTION[name]) == datagrams()[name]
+def test_datagram_of_a_production_build_is_read(build, name):
+    assert Codec().decode(PRODUCTION[build][name]) == datagrams(has_eras=HAS_ERAS[build])[name]
 
 
+@BUILDS
 @pytest.mark.parametrize("name", encoded_messages())
-def test_production_build_reads_a_message_of_this_build(name):
-    assert _extends(_content(encoded_messages()[name]), _content(PRODUCTION[name]))
+def test_production_build_reads_a_message_of_this_build(build, name):
+    sent = encoded_messages(has_eras=HAS_ERAS[build])[name]
+    assert _extends(_content(sent), _content(PRODUCTION[build][name]))
