Join the fleet only once a router's addresses are open

What callers would see: while a router waits for its callers' address ("Wait for an address that another process holds"), other routers named it to callers, whose connections reached the process that holds the address, or nobody.

Cause: membership began before the addresses were open.

Change: membership starts after the addresses for peers and callers are open.

Evidence: without the change of order test_router_that_waits_for_its_callers_address_is_not_named_to_callers fails; it passes with it.

--- a/fighinge/platform/run.py
+++ b/fighinge/platform/run.py
@@ -43,11 +43,7 @@
         print(f"{path}: ok")
         return
     logging.getLogger().setLevel(logging.CRITICAL)
-    try:
-        asyncio.run(serve(settings, path))
-    except OSError as error:
-        print(f"error: {error}", file=sys.stderr)
-        sys.exit(EXIT_NOT_LISTENING)
+    asyncio.run(serve(settings, path))
 
 
 def _read_settings_at_start(path: Path, retries: int) -> RouterSettings | Failure:
@@ -65,7 +61,6 @@
     """Serve callers until the process receives SIGTERM.
 
     :param path: the settings file, which is read again after a change
-    :raises OSError: if an address cannot be opened, or is in use for too long
     """
     log = DecisionLog(steady_clock, time.time)
     prefixes = {Topic.CONFIGURATION: OPERATOR_PREFIX, Topic.BACKENDS: SERVERS_PREFIX}
@@ -78,12 +73,20 @@
     stopping = asyncio.create_task(process.stop_request.wait())
     await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
     if starting.done():
-        starting.result()
+        _exit_if_failed(starting)
         await stopping
     starting.cancel()
     await process.stop()
 
 
+def _exit_if_failed(starting: asyncio.Task[None]) -> None:
+    try:
+        starting.result()
+    except OSError as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_NOT_LISTENING)
+
+
 async def _start(process: Router) -> None:
     await process.start()
     await start_servers(process, process.settings.gossip_port + METRICS_PORT_OFFSET)
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -170,7 +170,6 @@
             self.spawn(follower.run())
         self.spawn(self._poll_settings())
         self.spawn(self._peer_follower.run())
-        self.spawn(self._run_membership())
         self.spawn(self.pauses.run(self._observe_lag))
         self.spawn(self._run_housekeeping())
         self.spawn(self._reachability.run())
@@ -180,6 +179,7 @@
         )
         await self.listen(control.listen, self.settings.control_port)
         await self.listen(self.caller_server.listen, self.settings.caller_port)
+        self.spawn(self._run_membership())  # peers name this router to callers from now on
         self.log.write(
             "started",
             name=self.settings.name,
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-from fighinge.platform.run import EXIT_INVALID_SETTINGS
+from fighinge.platform.run import EXIT_INVALID_SETTINGS, EXIT_NOT_LISTENING
 from tests.platform.fleet import (
     ADDRESS_PORT,
     CONTROL_PORT,
@@ -29,9 +29,19 @@
 
 TAKEN_S = 1.0
 STOP_S = 5.0
+FORGET_S = 10.0  # a router that was killed is suspected for some seconds
 SITE_CUSTOMIZATION = "open({path!r}).read()\n"
 
 
+async def _event(fleet, event: str) -> None:
+    """Wait until router 0 has logged an event."""
+
+    async def is_logged() -> bool:
+        return event in [line["event"] for line in fleet.lines(0)]
+
+    await wait_until(is_logged, START_TIMEOUT_S)
+
+
 def test_fleet_starts_routers_with_the_command_of_the_deploy_file():
     deployed = tomllib.loads(Path("deploy/system.toml").read_text())["roles"]["router"]["run"]
     assert tuple(deployed.split()[1:]) == ROUTER_COMMAND[1:]
@@ -110,14 +120,11 @@
             if kind is socket.SOCK_STREAM:
                 holder.listen()
             fleet.start_router(0)
+            await _event(fleet, "address in use")
             await asyncio.sleep(TAKEN_S)
             is_running = fleet.processes[0].poll() is None
         await fleet.ready(0)
-
-        async def is_open() -> bool:
-            return "address opened" in [line["event"] for line in fleet.lines(0)]
-
-        await wait_until(is_open, START_TIMEOUT_S)
+        await _event(fleet, "address opened")
         return is_running, (await fleet.ask(0, "/one/x"))[1].status
 
     assert run_on_fleet(tmp_path, work) == (True, 200)
@@ -131,8 +138,44 @@
             holder.bind((fleet.address(0), FRONT_PORT))
             holder.listen()
             fleet.start_router(0)
-            await asyncio.sleep(TAKEN_S)
+            await _event(fleet, "address in use")
             fleet.signal(0, signal.SIGTERM)
             return await fleet.exited(0, STOP_S)
 
     assert run_on_fleet(tmp_path, work) == 0
+
+
+def test_router_that_waits_for_its_callers_address_is_not_named_to_callers(tmp_path):
+    async def work(fleet):
+        fleet.signal(0, signal.SIGKILL)
+        await fleet.exited(0, STOP_S)
+
+        async def has_addresses(routers: int) -> bool:
+            return len(await fleet.addresses(1)) == routers
+
+        with socket.socket() as holder:
+            holder.bind((fleet.address(0), FRONT_PORT))
+            holder.listen()
+            fleet.start_router(0)
+            await _event(fleet, "address in use")
+            await wait_until(lambda: has_addresses(1), FORGET_S)
+            await asyncio.sleep(TAKEN_S)
+            is_named = await has_addresses(2)
+        await wait_until(lambda: has_addresses(2), FORGET_S)
+        return is_named
+
+    assert run_on_fleet(tmp_path, work) is False
+
+
+def test_router_whose_address_cannot_be_opened_ends_with_the_reason(tmp_path):
+    settings = tmp_path / "node.json"
+    settings.write_bytes(msgspec.json.encode(router_settings("192.0.2.1", 0, "127.0.0.1:1")))
+    process = subprocess.run(
+        [*ROUTER_COMMAND, "--settings-file", str(settings)],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        timeout=START_TIMEOUT_S,
+        check=False,
+    )
+    assert process.returncode == EXIT_NOT_LISTENING
+    assert process.stderr.startswith(b"error: ")
