--- a/tests/platform/store_faults.py
+++ b/tests/platform/store_faults.py
@@ -12,6 +12,8 @@
     from collections.abc import Iterable
 
     from standins.server_events import Arrival
+    from standins.store import StoreCopy
+    from tests.platform.fleet import RouterFleet
     from tests.platform.guarantees import RecordedExchange
     from tests.platform.soak_fleet import SoakFleet
 
@@ -21,7 +23,7 @@
 REPEAT_S = 0.5  # servers and operators need some time to write again
 
 
-async def silence_after_change(fleet: SoakFleet, length_s: float) -> None:
+async def silence_after_change(fleet: RouterFleet, length_s: float) -> None:
     """Let the store be silent when all routers are about to send their next watch."""
     await fleet.configure()
     await asyncio.sleep(NEXT_WATCH_S)
@@ -30,12 +32,20 @@
     fleet.store.fault = ""
 
 
-async def restore_older_copy(fleet: SoakFleet, length_s: float) -> None:
-    """Let the store come back from an older copy, and have what that lacks written again."""
-    store = fleet.store
-    copied = store.copy()
+async def restore_older_copy(fleet: RouterFleet, length_s: float) -> None:
+    """Let the store come back from a copy that lacks the last version.
+
+    :param length_s: age of the copy in seconds
+    """
+    copied = fleet.store.copy()
     await fleet.configure()
     await asyncio.sleep(length_s)
+    await return_from_copy(fleet, copied)
+
+
+async def return_from_copy(fleet: RouterFleet, copied: StoreCopy) -> None:
+    """Let the store be away for a moment, come back from a copy, and get what that lacks again."""
+    store = fleet.store
     store.fault, store.affected_callers = "reset", set()
     await asyncio.sleep(AWAY_S)
     lost = store.copy()
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.platform.fleet import HOST, run_on_fleet
-from tests.platform.store_faults import AWAY_S, REPEAT_S
+from tests.platform.store_faults import restore_older_copy, return_from_copy
 
 SILENT_S = 1.0
 APPLY_S = 3.0
@@ -45,17 +45,6 @@
     assert run_on_fleet(tmp_path, work) == ({"shard0"}, {"single"})
 
 
-async def _restore(fleet, copied) -> None:
-    """Let the store be away for a moment, come back from a copy, and get what that lacks again."""
-    fleet.store.fault = "reset"
-    await asyncio.sleep(AWAY_S)
-    lost = fleet.store.copy()
-    await fleet.store.restore(copied)
-    fleet.store.fault = ""
-    await asyncio.sleep(REPEAT_S)
-    await fleet.store.write_again(lost, copied)
-
-
 async def _publish_moved(fleet) -> None:
     moved = {"name": "moved", "prefix": "/one/x/", "kind": "idempotent", "service": "shard0"}
     await fleet.configure(routes=[{"host": HOST, "max-attempts": 2} | moved])
@@ -67,10 +56,7 @@
     async def work(fleet):
         fleet.store.calls.clear()
         for _ in range(restores):
-            copied = fleet.store.copy()
-            await fleet.configure()
-            await asyncio.sleep(1.0)
-            await _restore(fleet, copied)
+            await restore_older_copy(fleet, 1.0)
         await asyncio.sleep(SILENT_S)
         reads = fleet.store.calls.count("/v1/kv-range")
         await _publish_moved(fleet)
@@ -94,7 +80,7 @@
             fleet.signal(0, signal.SIGKILL if disturbance == "killed" else signal.SIGTERM)
             await fleet.exited(0, 7.0)
             fleet.start_router(0)
-        await _restore(fleet, copied)
+        await return_from_copy(fleet, copied)
         if disturbance == "cut off from the store":
             fleet.store.fault, fleet.store.affected_callers = "silent", {fleet.address(0)}
             await asyncio.sleep(APPLY_S)
--- a/tests/platform/version_rounds.py
+++ b/tests/platform/version_rounds.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from tests.platform.fleet import HOST, RouterFleet
-from tests.platform.store_faults import AWAY_S, NEXT_WATCH_S, REPEAT_S
+from tests.platform.store_faults import NEXT_WATCH_S, restore_older_copy
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -196,18 +196,8 @@
             await asyncio.sleep(FAULT_S / 5)
 
     async def _restore(self) -> None:
-        store = self._fleet.store
         for _ in range(2):
-            copied = store.copy()
-            await self._fleet.configure()
-            await asyncio.sleep(1.0)
-            store.fault = "reset"
-            await asyncio.sleep(AWAY_S)
-            lost = store.copy()
-            await store.restore(copied)
-            store.fault = ""
-            await asyncio.sleep(REPEAT_S)
-            await store.write_again(lost, copied)
+            await restore_older_copy(self._fleet, 1.0)
 
     async def _storm(self) -> None:
         for _ in range(12):
