--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -144,6 +144,7 @@
         assert answer.status not in (408, 421, 429, 503)
 
 
+# One wrong byte in this header left the request without any answer.
 @pytest.mark.parametrize(
     "load",
     ["\xb2,0,8", "1,\xb3,8", "1,0,\xb9", "9" * 5000 + ",0,8", "-1,0,8", "1,0", "1,0,8,2", ""],
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -11,6 +11,7 @@
 REQUESTS = 40
 
 
+# One nested entry of another writer ended every router, again after each restart.
 def test_odd_records_of_another_writer_end_no_router_and_lose_no_request(tmp_path):
     async def work(fleet):
         odd = {
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -25,6 +25,7 @@
     return {server.service for server in fleet.servers if server.instance_id in servers}
 
 
+# Routers ignored the store's era, and missed all versions after its return from a copy.
 def test_version_that_follows_a_restored_copy_is_in_force_in_time(tmp_path):
     async def work(fleet):
         copied = fleet.store.copy()
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -59,6 +59,7 @@
     assert servers and leaving not in servers
 
 
+# A watch that was sent into a silence hid the next version for half a minute from all routers.
 def test_version_that_follows_a_silence_of_the_store_is_in_force_in_time(tmp_path):
     async def work(fleet):
         await _silence_all_watches(fleet)
--- a/tests/router/test_response_parser.py
+++ b/tests/router/test_response_parser.py
@@ -105,6 +105,7 @@
     assert buffers.used_bytes == 0
 
 
+# Each chunk of 2 bytes took 56 bytes, so that endless bodies ended routers by their memory.
 def test_memory_of_a_body_in_small_chunks_is_bounded_by_its_bytes():
     chunks = 100_000
     part = 1000 * b"2\r\nxy\r\n"
--- a/tests/router/test_unexpected_errors.py
+++ b/tests/router/test_unexpected_errors.py
@@ -21,6 +21,7 @@
     raise RuntimeError("unexpected")
 
 
+# A request whose work ended by an error that nobody expected got no answer.
 @pytest.mark.parametrize("path", ["/single/a", "/all/a"])
 def test_request_is_answered_and_its_calls_end_after_an_unexpected_error(path, monkeypatch):
     async def ask():
