--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -12,6 +12,7 @@
 
 SILENT_S = 1.0
 APPLY_S = 3.0
+LOG_S = 0.5  # log lines are written every 0.1 s
 REQUESTS = 20
 
 
@@ -65,6 +66,7 @@
     routers, topics, restores = 3, 2, 2
 
     async def work(fleet):
+        await asyncio.sleep(LOG_S)
         before = _complete_reads(fleet)
         for _ in range(restores):
             await restore_older_copy(fleet, 1.0)
