--- a/fighinge/membership/service.py
+++ b/fighinge/membership/service.py
@@ -166,6 +166,7 @@
                 group.create_task(self._run_anti_entropy())
         finally:
             self._transport.close()
+            self._is_open = False
 
     def set_seeds(self, hosts: Iterable[str]) -> None:
         """Set the hosts whose processes are contacted to join the fleet."""
