--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -1,4 +1,4 @@
-"""Tests of the start of router processes: early signals and addresses that are in use."""
+"""Tests of the start of routers: early signals, settings being written, addresses in use."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 SITE_CUSTOMIZATION = "open({path!r}).read()\n"
 
 
-async def _event(fleet, event: str) -> None:
+async def _wait_for_event(fleet, event: str) -> None:
     """Wait until router 0 has logged an event."""
 
     async def is_logged() -> bool:
@@ -120,11 +120,11 @@
             if kind is socket.SOCK_STREAM:
                 holder.listen()
             fleet.start_router(0)
-            await _event(fleet, "address in use")
+            await _wait_for_event(fleet, "address in use")
             await asyncio.sleep(TAKEN_S)
             is_running = fleet.processes[0].poll() is None
         await fleet.ready(0)
-        await _event(fleet, "address opened")
+        await _wait_for_event(fleet, "address opened")
         return is_running, (await fleet.ask(0, "/one/x"))[1].status
 
     assert run_on_fleet(tmp_path, work) == (True, 200)
@@ -138,7 +138,7 @@
             holder.bind((fleet.address(0), FRONT_PORT))
             holder.listen()
             fleet.start_router(0)
-            await _event(fleet, "address in use")
+            await _wait_for_event(fleet, "address in use")
             fleet.signal(0, signal.SIGTERM)
             return await fleet.exited(0, STOP_S)
 
@@ -157,7 +157,7 @@
             holder.bind((fleet.address(0), FRONT_PORT))
             holder.listen()
             fleet.start_router(0)
-            await _event(fleet, "address in use")
+            await _wait_for_event(fleet, "address in use")
             await wait_until(lambda: has_addresses(1), FORGET_S)
             await asyncio.sleep(TAKEN_S)
             is_named = await has_addresses(2)
