--- a/tests/platform/version_rounds.py
+++ b/tests/platform/version_rounds.py
@@ -44,9 +44,10 @@
 class Round(msgspec.Struct):
     """What a fault led to; times count from the acknowledgement of the judged version.
 
-    ``latest_s`` is when the last router first ran a request by the version. ``late_routers`` ran one
-    by the version before after it was due, or none by the new one; ``regressed_routers`` ran one by
-    the version before after one by the new one. ``not_found`` counts answers 404 on routes in force.
+    ``latest_s`` is when the last router first ran a request by the version. ``late_routers`` ran
+    one by the version before after it was due, or none by the new one; ``regressed_routers`` ran
+    one by the version before after one by the new one. ``not_found`` counts answers 404 on routes
+    in force.
     """
 
     fault: str
