Take no sample of servers that have ended for a cut of the router's links

What callers saw: with all servers of a service and a third of the others down, a router now and then took itself for cut off from all servers. It handed each request on to a peer, which costs a hop, and its refusals of the service that was down came from the peer.

Cause: a cut was concluded from one sample of six servers. It is random among those of which no call has failed, and by chance it held only servers that had ended; no other server was asked.

In virtual time test_sample_of_servers_that_have_ended_is_no_cut and test_silent_data_centres_are_no_cut_while_a_server_has_responded failed before.

Why this works: a server that refuses is replaced by another one, up to 30 in the first 0.1 s, so that one server that runs is found among 30. Connections that time out get no replacement, as a cut would be found later; there the servers that responded last are tried first, and these accept connections unless the links are cut. They are forgotten once a cut is found, so that the return is judged by random servers.

--- a/fighinge/router/reachability.py
+++ b/fighinge/router/reachability.py
@@ -2,13 +2,16 @@
 
 Calls that fail at several servers raise the suspicion. It is settled by opening connections to a
 sample of servers of different services: failing calls alone do not tell a cut from servers that are
-down, and connections that were opened before may live on during a cut.
+down, and connections that were opened before may live on during a cut. A server that refuses is
+replaced by another one, as all of a sample may have ended.
 """
 
 from __future__ import annotations
 
 import asyncio
 import enum
+import heapq
+import itertools
 from typing import TYPE_CHECKING
 
 from fighinge.router.metrics import CUT_OFF
@@ -26,6 +29,9 @@
 FAILURE_TTL_S = 2.0  # failures of a cut come within a connect timeout of each other
 MIN_FAILED_SERVERS = 2  # a check costs little, and one server fails often
 SAMPLE_SERVERS = 6
+MAX_TRIED_SERVERS = 30
+REPLACEMENT_S = 0.1  # tries that start later could end after ``MAX_CHECK_S``
+MAX_RESPONDED_SERVERS = 64
 MIN_SAMPLE_SERVERS = 3  # fewer prove nothing
 RECOVERED_RATIO = 0.5  # of the sample; a router that reaches a part serves by that
 CHECK_INTERVAL_S = 0.5
@@ -59,6 +65,7 @@
         "_log",
         "_pool",
         "_random",
+        "_responded",
         "_since_s",
         "_state",
         "_wake_up",
@@ -80,6 +87,7 @@
         self._state = LinkState.REACHING
         self._since_s = clock()
         self._failed_s: dict[tuple[str, str], float] = {}
+        self._responded: dict[tuple[str, str], None] = {}  # the latest response comes last
         self._check: asyncio.Task | None = None
         self._checked_s = float("-inf")
         self._wake_up = asyncio.Event()
@@ -119,13 +127,18 @@
 
     def record_failure(self, backend: Backend, now_s: float) -> None:
         """Record that a call to a server ended without any response."""
-        self._failed_s[(backend.record.service, backend.record.run_name)] = now_s
+        self._failed_s[_key(backend)] = now_s
         if self._state is LinkState.REACHING and self._has_many_failures(now_s):
             self._wake_up.set()
 
     def record_response(self, backend: Backend) -> None:
         """Record that a server responded."""
-        self._failed_s.pop((backend.record.service, backend.record.run_name), None)
+        key = _key(backend)
+        self._failed_s.pop(key, None)
+        self._responded.pop(key, None)
+        self._responded[key] = None
+        if len(self._responded) > MAX_RESPONDED_SERVERS:
+            del self._responded[next(iter(self._responded))]
 
     async def run(self) -> None:
         """Check the links while there is a suspicion or a cut, until cancelled."""
@@ -149,67 +162,99 @@
 
     async def _run_check(self) -> None:
         """Open connections to a sample of servers and update the state."""
-        addresses = self._sample()
-        if len(addresses) < MIN_SAMPLE_SERVERS:
+        candidates = self._candidates()
+        sample = candidates[:SAMPLE_SERVERS]
+        if len(sample) < MIN_SAMPLE_SERVERS:
             return
         started_s = self._clock()
-        accepted = await self._count_accepted(addresses)
+        if self._state is LinkState.REACHING:
+            tried, accepted = await self._try_until_accepted(candidates)
+        else:
+            tried, accepted = len(sample), await self._count_accepted(sample)
         now_s = self._clock()
         if not accepted and now_s - started_s > MAX_CHECK_S:
             return
         if self._state is LinkState.REACHING:
             if accepted == 0:
-                self._set_state(LinkState.CUT_OFF, accepted, len(addresses), now_s)
+                self._set_state(LinkState.CUT_OFF, accepted, tried, now_s)
             else:
                 self._failed_s.clear()
-        elif accepted < RECOVERED_RATIO * len(addresses):
-            self._set_state(LinkState.CUT_OFF, accepted, len(addresses), now_s)
+        elif accepted < RECOVERED_RATIO * tried:
+            self._set_state(LinkState.CUT_OFF, accepted, tried, now_s)
         elif self._state is LinkState.CUT_OFF:
-            self._set_state(LinkState.RETURNING, accepted, len(addresses), now_s)
+            self._set_state(LinkState.RETURNING, accepted, tried, now_s)
         elif now_s - self._since_s >= RETURN_DELAY_S:
-            self._set_state(LinkState.REACHING, accepted, len(addresses), now_s)
+            self._set_state(LinkState.REACHING, accepted, tried, now_s)
 
     async def _count_accepted(self, addresses: list[Address]) -> int:
-        """Return how many servers accept a connection; while the links work, one is enough."""
-        accepted = 0
-        tries = [
-            asyncio.create_task(self._calls.accepts_connections(address)) for address in addresses
-        ]
+        """Return how many servers accept a connection."""
+        results = await asyncio.gather(*map(self._calls.accepts_connections, addresses))
+        return sum(results)
+
+    async def _try_until_accepted(self, candidates: list[Address]) -> tuple[int, int]:
+        """Return how many servers were tried and accepted a connection; one that does is enough.
+
+        A sample is tried at once. A server that refuses is replaced by the next candidate, up to
+        ``MAX_TRIED_SERVERS``; one whose connection times out is not, as that takes too long.
+        """
+        waiting = iter(candidates[SAMPLE_SERVERS:MAX_TRIED_SERVERS])
+        tries: set[asyncio.Task[bool]] = set()
+        tried = 0
+
+        def start(address: Address) -> None:
+            nonlocal tried
+            tried += 1
+            tries.add(asyncio.create_task(self._calls.accepts_connections(address)))
+
+        end_s = self._clock() + REPLACEMENT_S
+        for address in candidates[:SAMPLE_SERVERS]:
+            start(address)
         try:
-            for result in asyncio.as_completed(tries):
-                accepted += await result
-                if accepted and self._state is LinkState.REACHING:
-                    break
+            while tries:
+                ended, _ = await asyncio.wait(tries, return_when=asyncio.FIRST_COMPLETED)
+                tries -= ended
+                if any(task.result() for task in ended):
+                    return tried, 1
+                if self._clock() < end_s:
+                    for address in itertools.islice(waiting, len(ended)):
+                        start(address)
         finally:
             for task in tries:
                 task.cancel()
-        return accepted
+        return tried, 0
 
-    def _sample(self) -> list[Address]:
-        """Return the addresses of random servers, of different services as far as there are.
+    def _candidates(self) -> list[Address]:
+        """Return the addresses of servers in the order in which they are tried.
 
-        Those of which no call has failed come first: they alone tell a cut from servers that have
-        ended.
+        One of each service comes first, and those of which no call has failed before the others:
+        they alone tell a cut from servers that have ended. Among them those come first that have
+        responded last.
         """
         services = [service for service in self._pool.services() if service.backends]
         self._random.shuffle(services)
         services.sort(key=lambda service: sum(map(self._has_failed, service.backends)))
-        chosen = [self._choose(service.backends) for service in services[:SAMPLE_SERVERS]]
+        last_responses = {key: at for at, key in enumerate(self._responded)}
+
+        def order(backend: Backend) -> tuple[bool, int, float]:
+            return (
+                self._has_failed(backend),
+                -last_responses.get(_key(backend), -1),
+                self._random.random(),
+            )
+
+        chosen = [min(service.backends, key=order) for service in services]
+        chosen_keys = set(map(_key, chosen))
         others = [
-            backend for service in services for backend in service.backends if backend not in chosen
+            backend
+            for service in services
+            for backend in service.backends
+            if _key(backend) not in chosen_keys
         ]
-        missing = SAMPLE_SERVERS - len(chosen)
-        chosen += self._random.sample(others, min(missing, len(others)))
+        chosen += heapq.nsmallest(MAX_TRIED_SERVERS, others, key=order)
         return [backend.record.address for backend in chosen]
 
-    def _choose(self, backends: list[Backend]) -> Backend:
-        """Return a random server, of which no call has failed if there is one."""
-        return self._random.choice(
-            [backend for backend in backends if not self._has_failed(backend)] or backends
-        )
-
     def _has_failed(self, backend: Backend) -> bool:
-        return (backend.record.service, backend.record.run_name) in self._failed_s
+        return _key(backend) in self._failed_s
 
     def _has_many_failures(self, now_s: float) -> bool:
         recent = [key for key, at_s in self._failed_s.items() if now_s - at_s < FAILURE_TTL_S]
@@ -234,9 +279,15 @@
         CUT_OFF.set(state is not LinkState.REACHING)
         if state is LinkState.CUT_OFF:
             self._cut_off.set()
+            self._responded.clear()
         elif state is LinkState.RETURNING:
             self._cut_off.clear()
             self._failed_s.clear()
             self._pool.forget_unreachable()
         for listener in self._listeners:
             listener(state is LinkState.CUT_OFF)
+
+
+def _key(backend: Backend) -> tuple[str, str]:
+    """Return what names a run of a server in the records of its failures and responses."""
+    return (backend.record.service, backend.record.run_name)
--- a/tests/router/test_reachability.py
+++ b/tests/router/test_reachability.py
@@ -10,9 +10,11 @@
 
 from fighinge.aggregator.base import Address
 from fighinge.router.backend import MAX_DOWN_BACKOFF_S
+from fighinge.router.backend_calls import CONNECT_TIMEOUT_S
 from fighinge.router.reachability import (
     CHECK_INTERVAL_S,
     MAX_CHECK_S,
+    MAX_TRIED_SERVERS,
     MIN_FAILED_SERVERS,
     RETURN_DELAY_S,
     SAMPLE_SERVERS,
@@ -31,11 +33,11 @@
 class LinkFixture(RouterFixture):
     """A router whose links are checked in the background."""
 
-    def __init__(self, shards: int = 4, seed: int = 2) -> None:
+    def __init__(self, shards: int = 4, seed: int = 2, replicas: int = 3) -> None:
         super().__init__(links_seed=seed)
         records = [
             msgspec.structs.replace(record, address=Address("127.0.0.1", 9000 + number))
-            for number, record in enumerate(shard_backend_records(shards))
+            for number, record in enumerate(shard_backend_records(shards, replicas))
         ]
         self.publish(table(gather_route(shards), services=shards), *records)
         self.task = asyncio.create_task(self.reachability.run())
@@ -129,6 +131,114 @@
     assert run(work()) == []
 
 
+def test_sample_of_servers_that_have_ended_is_no_cut():
+    """Servers of a data centre and of a service end; a random sample may hold none that runs."""
+
+    async def work():
+        found = []
+        for seed in range(400):
+            router = LinkFixture(shards=5, seed=seed)
+            ended = [
+                item
+                for item in router.backends()
+                if item.record.zone == "z1" or item.record.service == "s0"
+            ]
+            router.refuse(*ended)
+            router.fail(*ended[:MIN_FAILED_SERVERS])
+            await asyncio.sleep(0.1)
+            found += router.states()
+            router.task.cancel()
+        return found
+
+    assert run(work()) == []
+
+
+def test_end_of_most_servers_of_the_only_service_is_no_cut():
+    async def work():
+        found = []
+        for seed in range(50):
+            router = LinkFixture(shards=1, replicas=30, seed=seed)
+            ended = router.backends()[:25]
+            router.refuse(*ended)
+            router.fail(*ended[:MIN_FAILED_SERVERS])
+            await asyncio.sleep(0.1)
+            found += router.states()
+            router.task.cancel()
+        return found
+
+    assert run(work()) == []
+
+
+def test_check_tries_a_bounded_number_of_servers_at_a_time():
+    """A cut that refuses connections is found in a moment, also where there are many servers."""
+
+    async def work():
+        router = LinkFixture(shards=40)
+        tried, open_tries, most_open = 0, 0, 0
+
+        async def accepts(_address):
+            nonlocal tried, open_tries, most_open
+            tried, open_tries = tried + 1, open_tries + 1
+            most_open = max(most_open, open_tries)
+            await asyncio.sleep(0.005)
+            open_tries -= 1
+            return False
+
+        router.calls.accepts_connections = accepts
+        router.fail(*router.backends()[:MIN_FAILED_SERVERS])
+        await asyncio.sleep(0.1)
+        return tried, most_open, router.states()
+
+    assert run(work()) == (MAX_TRIED_SERVERS, SAMPLE_SERVERS, ["cut off"])
+
+
+def test_cut_whose_connections_time_out_is_found_by_one_sample():
+    async def work():
+        router = LinkFixture(shards=40)
+        tried = 0
+
+        async def accepts(_address):
+            nonlocal tried
+            tried += 1
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            return False
+
+        router.calls.accepts_connections = accepts
+        router.fail(*router.backends()[:MIN_FAILED_SERVERS])
+        await asyncio.sleep(CONNECT_TIMEOUT_S + 0.1)
+        return tried, router.states()
+
+    assert run(work()) == (SAMPLE_SERVERS, ["cut off"])
+
+
+def test_silent_data_centres_are_no_cut_while_a_server_has_responded():
+    """Connections to most servers time out, which no further tries could tell from a cut."""
+
+    async def work():
+        found = []
+        for seed in range(50):
+            router = LinkFixture(shards=1, replicas=30, seed=seed)
+            silent = {item.record.address for item in router.backends()[:25]}
+            for backend in router.backends():
+                router.reachability.record_response(backend)
+            for backend in router.backends()[25:]:
+                router.reachability.record_response(backend)
+
+            async def accepts(address, silent=silent):
+                if address in silent:
+                    await asyncio.sleep(CONNECT_TIMEOUT_S)
+                return address not in silent
+
+            router.calls.accepts_connections = accepts
+            router.fail(*router.backends()[:MIN_FAILED_SERVERS])
+            await asyncio.sleep(CONNECT_TIMEOUT_S + 0.1)
+            found += router.states()
+            router.task.cancel()
+        return found
+
+    assert run(work()) == []
+
+
 def test_cut_is_found_by_calls_to_one_service():
     """Calls to the others may go on, on connections that were opened before the cut."""
 
@@ -182,6 +292,22 @@
     assert run(work()) == (12, True, False, ["cut off", "returning", "reaching"])
 
 
+def test_router_returns_though_the_servers_that_responded_last_have_ended():
+    async def work():
+        router = LinkFixture(shards=1, replicas=30)
+        for backend in router.backends():
+            router.reachability.record_response(backend)
+        router.calls.is_cut_off = True
+        router.fail(*router.backends()[:MIN_FAILED_SERVERS])
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        router.refuse(*router.backends()[-SAMPLE_SERVERS:])
+        router.calls.is_cut_off = False
+        await asyncio.sleep(RETURN_DELAY_S + 6 * CHECK_INTERVAL_S)
+        return router.states()[-1]
+
+    assert run(work()) == "reaching"
+
+
 def test_cut_confirms_no_crash_of_requests_in_flight():
     async def work():
         router = LinkFixture()
