Round Retry-After up, so that no caller returns before the time it names

What callers saw: a caller that was told to wait 1.48 s for servers in a pause, and came back after exactly that time, was refused again (429, another 0.1 s).

Cause: the header is rounded to the nearest hundredth of a second, which named a time up to 5 ms before the pause ends. The entry of the product rounded to the nearest second, up to half a second before.

Why this works: rounded up, the header never names an earlier time than the one that is known here; it costs a caller 10 ms at most.

--- a/fighinge/entry/http_server.py
+++ b/fighinge/entry/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import logbook
@@ -60,7 +61,7 @@
     def write_query_error(self, error: QueryError) -> None:
         """Finish the response with an error and the HTTP status of its kind."""
         if error.retry_after_s is not None:
-            self.set_header("Retry-After", str(max(1, round(error.retry_after_s))))
+            self.set_header("Retry-After", str(max(1, math.ceil(error.retry_after_s))))
         self.write_message(error, ERROR_PROPERTIES[error.kind].http_status)
 
     def write_failure(self, failure: Failure, request_id: str = "") -> None:
--- a/fighinge/platform/headers.py
+++ b/fighinge/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 from fighinge.errors import ERROR_PROPERTIES, ErrorKind, Failure
@@ -177,7 +178,8 @@
             status = 502  # a 4xx would state that the request is malformed
         headers: Headers = (("Content-Type", "text/plain; charset=utf-8"),)
         if retry_after_s is not None:
-            headers += (("Retry-After", f"{retry_after_s:.2f}"),)
+            # Rounded up: a caller that returns before a server takes a call is refused again.
+            headers += ((RETRY_AFTER, f"{math.ceil(retry_after_s * 100) / 100:.2f}"),)
         subject = f"{failure.field} " if failure.field else ""
         body = f"{failure.kind.value}: {subject}{failure.reason}\n".encode()
         return Answer(status, headers, body, properties.not_run)
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -32,11 +32,13 @@
     """Simulate one backend server process; all servers of a fleet append to the same ``runs``.
 
     ``fault`` is empty, ``lose`` (runs the request, then closes the connection without a response),
-    ``error`` (runs it and answers 500) or ``shed`` (answers 503 without running it). It affects
-    every ``fault_interval_requests``-th request.
+    ``error`` (runs it and answers 500), ``cut`` (runs it and closes the connection in the middle of
+    the body), ``foreign`` (runs it and answers with the identifier of another request) or ``shed``
+    (answers 503 without running it). It affects every ``fault_interval_requests``-th request.
 
     With ``is_leaving``, each response says that the server leaves. With ``retry_after_s``, each
-    request is turned away with a 503 that asks to send nothing for that time. With
+    request is turned away with a 503 that asks to send nothing for that time; a text that is no
+    number is sent as it is. With
     ``max_requests_per_s``, each response names that limit. A request for a
     target in ``events.crash_targets`` ends the process, which starts anew after
     ``restart_delay_s``, or not at all if that is ``None``.
@@ -65,7 +67,7 @@
         self.fault = ""
         self.fault_interval_requests = 1
         self.is_leaving = False
-        self.retry_after_s: float | None = None
+        self.retry_after_s: float | str | None = None
         self.max_requests_per_s: float | None = None
         self.restart_delay_s = restart_delay_s
         self.events = events or ServerEvents()
@@ -185,7 +187,10 @@
         }
         if has_fault and self.fault == "error":
             return self._write(connection, 500, headers, b"failed")
-        return self._write(connection, 200, headers, records(self.service))
+        if has_fault and self.fault == "foreign":
+            headers["X-Request-Id"] = "another"
+        is_cut = bool(has_fault) and self.fault == "cut"
+        return self._write(connection, 200, headers, records(self.service), is_cut=is_cut)
 
     def _record_run(self, request_id: str, start_line, body: bytes) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -213,13 +218,15 @@
             Statement(request_id, self.instance_id, self.started_ms, now_s, duration_s, router)
         )
 
-    def _write(self, connection, status: int, headers: dict[str, str], body: bytes) -> None:
+    def _write(
+        self, connection, status: int, headers: dict[str, str], body: bytes, *, is_cut: bool = False
+    ) -> None:
         if connection.stream is None or connection.stream.closed():
             return
         request_id = headers.get("X-Request-Id", "")
         router = self.events.routers.get(connection.context.remote_ip)
         if "Retry-After" in headers:
-            pause_s = float(headers["Retry-After"])
+            pause_s = _pause_s(headers["Retry-After"])
             self._record_statement(self.events.refusals, request_id, pause_s, router)
         if self.is_leaving:
             headers = {**headers, "Server-Leaving": "1"}
@@ -237,10 +244,12 @@
             )
         )
         response_headers = httputil.HTTPHeaders({**headers, "Content-Length": str(len(body))})
-        reason = httputil.responses[status]
-        connection.write_headers(
-            httputil.ResponseStartLine("HTTP/1.1", status, reason), response_headers, body
-        )
+        start_line = httputil.ResponseStartLine("HTTP/1.1", status, httputil.responses[status])
+        if is_cut:
+            connection.write_headers(start_line, response_headers, body[: len(body) // 2])
+            connection.stream.close()
+            return
+        connection.write_headers(start_line, response_headers, body)
         connection.finish()
 
 
@@ -262,6 +271,14 @@
         self._connection.set_close_callback(task.cancel)
 
 
+def _pause_s(text: str) -> float:
+    """Return the time that a ``Retry-After`` asks for, in seconds; 0 if it is not valid."""
+    try:
+        return max(float(text), 0.0)
+    except ValueError:
+        return 0.0
+
+
 def records(service: str) -> bytes:
     """Return the concatenated, unsorted records of a service; each shard is one service."""
     return b"".join(
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -144,6 +144,16 @@
         assert answer.status not in (408, 421, 429, 503)
 
 
+# Rounded to the nearest hundredth, it let callers return milliseconds early and be refused again.
+@pytest.mark.parametrize(
+    ("wait_s", "text"),
+    [(1.4801, "1.49"), (0.104, "0.11"), (0.1, "0.10"), (0.3, "0.30"), (2.0, "2.00")],
+)
+def test_caller_is_never_told_to_return_before_the_wait_ends(wait_s, text):
+    answer = CODEC.encode_failure(Failure(ErrorKind.OVERLOADED, "why"), wait_s)
+    assert dict(answer.headers)["Retry-After"] == text
+
+
 # One wrong byte in this header left the request without any answer.
 @pytest.mark.parametrize(
     "load",
