--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.platform.fleet import run_on_fleet
+from tests.platform.fleet import HOST, run_on_fleet
 
 DRAIN_S = 3.0
 REQUEST_INTERVAL_S = 0.02
@@ -229,3 +229,41 @@
         return late, {status for _, _, status in [*sent.values(), *later.values()]}
 
     assert run_on_fleet(tmp_path, work) == (0, {200})
+
+
+def test_restarted_router_learns_again_which_servers_leave(tmp_path):
+    """Each caller's first request may reach such a server, which says again that it leaves."""
+
+    async def work(fleet):
+        for server in fleet.servers:
+            server.is_leaving = server.zone == "z1"
+        await _ask_for(fleet, "/one/x", 1.0)
+        fleet.processes[0].kill()
+        await fleet.exited(0, PAUSE_S)
+        fleet.start_router(0)
+        await fleet.ready(0)
+        fleet.events.arrivals.clear()
+        fleet.events.leavings.clear()
+        sent = await _ask_for(fleet, "/one/x", 1.0)
+        return _late_arrivals(fleet, sent, HEED_S), {status for _, _, status in sent.values()}
+
+    assert run_on_fleet(tmp_path, work) == (0, {200})
+
+
+def test_withdrawn_route_stays_withdrawn_at_a_router_that_starts_without_the_store(tmp_path):
+    async def work(fleet):
+        moved = {"name": "moved", "prefix": "/moved/", "kind": "idempotent", "service": "single"}
+        await fleet.configure(routes=[{"host": HOST, "max-attempts": 2} | moved])
+        await asyncio.sleep(1.0)
+        _, before = await fleet.ask(0, "/moved/x")
+        await fleet.configure()
+        await asyncio.sleep(1.0)
+        fleet.store.fault = "silent"
+        fleet.processes[0].kill()
+        await fleet.exited(0, PAUSE_S)
+        fleet.start_router(0)
+        await fleet.ready(0)
+        _, after = await fleet.ask(0, "/moved/x")
+        return before.status, after.status
+
+    assert run_on_fleet(tmp_path, work) == (200, 404)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -44,6 +44,22 @@
         raise ValueError("secret")
 
 
+class RefusingExecutor:
+    """Refuse each query, to be repeated after a time."""
+
+    ready = True
+
+    async def query(self, _name, _request, *, forwarded=False):
+        return QueryError(
+            request_id="r-9",
+            kind=ErrorKind.OVERLOADED,
+            reason="busy",
+            may_resend=True,
+            not_run=True,
+            retry_after_s=1.4,
+        )
+
+
 @contextlib.asynccontextmanager
 async def _serving(executor, entries=None):
     server = create_server(executor, entries, lambda _name: QueryLabels("vaquero", "desk"))
@@ -72,6 +88,20 @@
     asyncio.run(run())
 
 
+# Rounded to the nearest second, it let callers return early and be refused again.
+def test_caller_is_never_told_to_return_before_the_wait_ends():
+    async def run():
+        async with _serving(RefusingExecutor()) as (_client, url):
+            reader, writer = await asyncio.open_connection("127.0.0.1", int(url.split(":")[2]))
+            writer.write(b"POST /v1/services/desk/query HTTP/1.1\r\nHost: x\r\n")
+            writer.write(b'Content-Length: 21\r\n\r\n{"request_id": "r-9"}')
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+            writer.close()
+            return head
+
+    assert b"\r\nRetry-After: 2\r\n" in asyncio.run(run())
+
+
 def test_unexpected_exception_is_counted_and_not_shown_to_the_caller():
     async def run():
         async with _serving(FailingExecutor()) as (client, url):
