--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+import shutil
 import sys
 import tempfile
 import time
@@ -146,13 +147,21 @@
         await fleet.stop()
 
 
-def soak(*, seed: int = 1, minutes: float = 1.0, rounds: int = 0, routers: int = ROUTERS) -> None:
+def soak(
+    *,
+    seed: int = 1,
+    minutes: float = 1.0,
+    rounds: int = 0,
+    routers: int = ROUTERS,
+    logs: Path | None = None,
+) -> None:
     """Run seeds in sequence and report their violations.
 
     :param seed: the first seed
     :param minutes: duration in minutes, if ``rounds`` is 0
     :param rounds: number of seeds to run, instead of a duration
     :param routers: number of router processes
+    :param logs: folder that gets the routers' logs of each seed that fails
     """
     end_s = time.monotonic() + 60 * minutes
     failed = 0
@@ -160,6 +169,8 @@
     while completed < rounds if rounds else time.monotonic() < end_s:
         with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as directory:
             outcome = asyncio.run(run_seed(seed + completed, Path(directory), routers))
+            if logs is not None and not outcome.is_good:
+                shutil.copytree(directory, logs / str(outcome.seed), dirs_exist_ok=True)
         print(msgspec.json.encode(outcome).decode(), flush=True)
         failed += not outcome.is_good
         completed += 1
