--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -35,15 +35,19 @@
     """Simulate a backend server process that answers each request by an endless response.
 
     :param kind: one of ``ENDLESS``
+    :param rate: factor of the bytes that it sends in a time
     """
 
-    def __init__(self, instance_id: str, service: str, kind: str, zone: str) -> None:
+    def __init__(
+        self, instance_id: str, service: str, kind: str, zone: str, *, rate: int = 1
+    ) -> None:
         self.instance_id = instance_id
         self.service = service
         self.zone = zone
         self.calls = 0
         self.sent_bytes = 0
-        self._content = ENDLESS[kind]
+        self._start = ENDLESS[kind].start
+        self._repeated = ENDLESS[kind].repeated * rate
         self._address = ""
         self._server: asyncio.Server | None = None
 
@@ -75,11 +79,11 @@
         try:
             await reader.readuntil(b"\r\n\r\n")
             self.calls += 1
-            writer.write(self._content.start)
+            writer.write(self._start)
             while True:
-                writer.write(self._content.repeated)
+                writer.write(self._repeated)
                 await writer.drain()
-                self.sent_bytes += len(self._content.repeated)
+                self.sent_bytes += len(self._repeated)
                 await asyncio.sleep(WRITE_INTERVAL_S)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass  # the router closed the connection, which is what ends a response
