--- a/tests/router/test_reachability.py
+++ b/tests/router/test_reachability.py
@@ -131,18 +131,14 @@
     assert run(work()) == []
 
 
-def test_sample_of_servers_that_have_ended_is_no_cut():
-    """Servers of a data centre and of a service end; a random sample may hold none that runs."""
+def _states_after_ends(seeds: int, has_ended, **fixture) -> list[str]:
+    """Let servers end, and two calls to them fail, with each of some seeds; return all states."""
 
     async def work():
         found = []
-        for seed in range(400):
-            router = LinkFixture(shards=5, seed=seed)
-            ended = [
-                item
-                for item in router.backends()
-                if item.record.zone == "z1" or item.record.service == "s0"
-            ]
+        for seed in range(seeds):
+            router = LinkFixture(seed=seed, **fixture)
+            ended = [item for at, item in enumerate(router.backends()) if has_ended(at, item)]
             router.refuse(*ended)
             router.fail(*ended[:MIN_FAILED_SERVERS])
             await asyncio.sleep(0.1)
@@ -150,23 +146,21 @@
             router.task.cancel()
         return found
 
-    assert run(work()) == []
+    return run(work())
 
 
-def test_end_of_most_servers_of_the_only_service_is_no_cut():
-    async def work():
-        found = []
-        for seed in range(50):
-            router = LinkFixture(shards=1, replicas=30, seed=seed)
-            ended = router.backends()[:25]
-            router.refuse(*ended)
-            router.fail(*ended[:MIN_FAILED_SERVERS])
-            await asyncio.sleep(0.1)
-            found += router.states()
-            router.task.cancel()
-        return found
+# A sample by chance held none that runs, and a router handed its requests on.
+def test_sample_of_servers_that_have_ended_is_no_cut():
+    """All servers of a service and of a data centre have ended."""
 
-    assert run(work()) == []
+    def has_ended(_at, backend):
+        return backend.record.zone == "z1" or backend.record.service == "s0"
+
+    assert _states_after_ends(400, has_ended, shards=5) == []
+
+
+def test_end_of_most_servers_of_the_only_service_is_no_cut():
+    assert _states_after_ends(50, lambda at, _backend: at < 25, shards=1, replicas=30) == []
 
 
 def test_check_tries_a_bounded_number_of_servers_at_a_time():
