--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -29,6 +29,8 @@
 from tests.virtual_time import run
 
 NOW_S = 1000.0
+MAX_VERSION_DELAY_S = 5.0  # of the platform, after a version is acknowledged
+STORE_READ_S = 0.5
 
 
 def _view(*, is_reachable=True):
@@ -198,6 +200,38 @@
     assert not role.should_read()
 
 
+# A hunt's day on vbw-search-grown: version 3 was in force 5.2 s after version 6 was acknowledged.
+@pytest.mark.xfail(reason="KNOWN-RED 32: the wait begins anew with each peer that loses the store")
+def test_router_whose_peers_lose_the_store_one_after_the_other_reads_it_in_time():
+    """Times since the last answer of a peer, as in a replay of the day."""
+    members = _members(*[1.0] * 30)
+    number = next(
+        number for number in range(30) if not is_reader(_peers(members, number).membership.table)
+    )
+    clock_s = [NOW_S]
+    view = _view(is_reachable=False)
+    role = ReaderRole(view, _peers(members, number), 0.0, lambda: clock_s[0])
+
+    def follow(peer):
+        for topic in Topic:
+            view.record_relay_answer(topic, peer, clock_s[0])
+
+    def lose():
+        for topic in Topic:
+            view.record_relay_failure(topic, clock_s[0])
+
+    events = {2.8: lose, 3.2: lambda: follow("10.0.0.2"), 3.4: lose}
+    follow("10.0.0.1")
+    reads_s = []
+    for step in range(int(10 * MAX_VERSION_DELAY_S)):
+        after_s = round(0.1 * step, 1)
+        clock_s[0] = NOW_S + after_s
+        events.get(after_s, lambda: None)()
+        if role.should_read():
+            reads_s.append(after_s)
+    assert reads_s and reads_s[0] + STORE_READ_S <= MAX_VERSION_DELAY_S
+
+
 def test_share_of_rates_leaves_out_other_routers_that_are_cut_off():
     members = [
         Member(Role.ENTRY, f"10.0.0.{number}", "z1", 1, is_cut_off=number >= 3)
