Name what a limit of the link check is for, and say what a count of crashes counts

Read as a newcomer: REPLACEMENT_S did not say that it is the time after which no further try begins, and the docstring of crashes_of_other_cause read as if it counted requests. Names and docstrings only: the syntax trees are equal but for them. tests/router passes.

--- a/fighinge/router/crash_ledger.py
+++ b/fighinge/router/crash_ledger.py
@@ -141,9 +141,10 @@
         ]
 
     def crashes_of_other_cause(self, fingerprint: str, crash: Crash, now_s: float) -> int:
-        """Return the most crashes of another request that may have caused this one.
+        """Return how many servers have ended under the likeliest other cause of a crash.
 
-        That is one in flight at the server which was answered less recently; 0 if there is none.
+        Other causes are requests in flight at the server that were answered less recently; 0 if
+        there is none.
         """
         services = {crash.service}
         own_s = self.last_answers_s(fingerprint, services, now_s)[crash.service]
--- a/fighinge/router/reachability.py
+++ b/fighinge/router/reachability.py
@@ -30,7 +30,7 @@
 MIN_FAILED_SERVERS = 2  # a check costs little, and one server fails often
 SAMPLE_SERVERS = 6
 MAX_TRIED_SERVERS = 30
-REPLACEMENT_S = 0.1  # tries that start later could end after ``MAX_CHECK_S``
+LAST_TRY_AFTER_S = 0.1  # tries that begin later could end after ``MAX_CHECK_S``
 MAX_RESPONDED_SERVERS = 64
 MIN_SAMPLE_SERVERS = 3  # fewer prove nothing
 RECOVERED_RATIO = 0.5  # of the sample; a router that reaches a part serves by that
@@ -192,7 +192,7 @@
         return sum(results)
 
     async def _try_until_accepted(self, candidates: list[Address]) -> tuple[int, int]:
-        """Return how many servers were tried and accepted a connection; one that does is enough.
+        """Return how many servers were tried, and 1 if one of them accepted a connection, else 0.
 
         A sample is tried at once. A server that refuses is replaced by the next candidate, up to
         ``MAX_TRIED_SERVERS``; one whose connection times out is not, as that takes too long.
@@ -206,7 +206,7 @@
             tried += 1
             tries.add(asyncio.create_task(self._calls.accepts_connections(address)))
 
-        end_s = self._clock() + REPLACEMENT_S
+        last_try_s = self._clock() + LAST_TRY_AFTER_S
         for address in candidates[:SAMPLE_SERVERS]:
             start(address)
         try:
@@ -215,7 +215,7 @@
                 tries -= ended
                 if any(task.result() for task in ended):
                     return tried, 1
-                if self._clock() < end_s:
+                if self._clock() < last_try_s:
                     for address in itertools.islice(waiting, len(ended)):
                         start(address)
         finally:
