Heed what a server said while a restored copy lists an earlier run of it

Cause: a record of an earlier run took that run's statistics from those kept for a return, and they lack what the run that listens has said.

A run that starts later than one that left is used as before.

--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -148,7 +148,19 @@
         Until then, the answers of this run count for the previous one. If that had refused a
         connection before it first said that it leaves, it had probably ended, and this run says so.
         """
-        self._refused_until_s = max(previous._refused_until_s, previous._next_run_leaves_until_s)
+        self._refused_until_s = max(
+            self._refused_until_s, previous._refused_until_s, previous._next_run_leaves_until_s
+        )
+
+    def adopt_restored(self, previous: Backend, now_s: float) -> None:
+        """Heed what another run of this server said, after a restored copy exchanged their records.
+
+        Answers count for the run that is listed, whichever of the two gave them.
+        """
+        self.adopt_statements(previous)
+        self.limit = previous.limit
+        if previous.is_leaving:
+            self._refused_until_s = max(self._refused_until_s, now_s + ADOPTED_LEAVING_S)
 
     def is_in_service(self, now_s: float) -> bool:
         """Return whether the server takes calls, apart from limits of their number."""
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -152,13 +152,10 @@
             service.backends = []
         for record in self._view.backends.values():
             identity = (record.instance_id, record.started_ms)
-            backend = self._backends.get(identity) or self._unlisted.pop(identity, None)
+            backend = self._backends.get(identity)
             if backend is None:
-                backend = Backend(record, self._view.log, self._share, now_s)
-                self._record_run(record, now_s)
-                if record.instance_id in known:
-                    backend.adopt_statements(known[record.instance_id])
-            elif backend.record is not record:
+                backend = self._find_or_add(record, known.get(record.instance_id), now_s)
+            if backend.record is not record:
                 backend.update(record, now_s)
             backend.connection_quota = self._connection_quota(record.service)
             backend.cold_quota = self._cold_quota(record)
@@ -172,6 +169,25 @@
             del self._unlisted[next(iter(self._unlisted))]
         self._backends = current
 
+    def _find_or_add(
+        self, record: BackendRecord, previous: Backend | None, now_s: float
+    ) -> Backend:
+        """Return the run of a server that a record newly lists, with what the server has said.
+
+        :param previous: the run of the same server that was listed until now, if any
+        """
+        backend = self._unlisted.pop((record.instance_id, record.started_ms), None)
+        is_known = backend is not None
+        if backend is None:
+            backend = Backend(record, self._view.log, self._share, now_s)
+            self._record_run(record, now_s)
+        if previous is not None:
+            if is_known or record.started_ms < previous.record.started_ms:
+                backend.adopt_restored(previous, now_s)
+            else:
+                backend.adopt_statements(previous)
+        return backend
+
     def _record_run(self, record: BackendRecord, now_s: float) -> None:
         """Record which run has an address; the one that had it before has ended."""
         previous = self._run_at.pop(record.address, None)
--- a/tests/router/test_pool.py
+++ b/tests/router/test_pool.py
@@ -13,6 +13,7 @@
 from fighinge.router.backend import ADOPTED_LEAVING_S, MAX_RECORD_DELAY_S, Backend
 from fighinge.router.changes import BackendListed, BackendUnlisted, TablePublished, ZoneEvacuated
 from fighinge.router.exchange import ServerStatement
+from fighinge.router.limited_calls import CallKind
 from fighinge.router.pool import BackendPool
 from fighinge.router.retry_budget import RetryBudgetLimits
 from fighinge.router.view import View
@@ -304,12 +305,11 @@
 
 
 # Soak seed 10287: a router called a server in its pause after the store had been restored.
-@pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED 31: a restored record of an earlier run has no statements"
-)
-@pytest.mark.parametrize(
-    "statement", [ServerStatement(refusal_s=3.0), ServerStatement(is_leaving=True)]
-)
+STATEMENTS = [ServerStatement(refusal_s=3.0), ServerStatement(is_leaving=True)]
+
+
+# KNOWN-RED 31: a restored record of an earlier run had no statements.
+@pytest.mark.parametrize("statement", STATEMENTS)
 def test_statement_holds_when_a_restored_copy_lists_an_earlier_run(statement):
     pool = PoolFixture()
     pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=2))], NOW_S)
@@ -318,6 +318,45 @@
     assert pool.most_chosen(NOW_S + 1.0) in ("i2", "i3")
 
 
+@pytest.mark.parametrize("statement", STATEMENTS)
+def test_statement_holds_when_a_restored_copy_lists_a_run_of_before_its_start(statement):
+    pool = PoolFixture()
+    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=2))], NOW_S)
+    pool.backend("i1").record_statement(statement, NOW_S)
+    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=0))], NOW_S + 0.2)
+    assert pool.most_chosen(NOW_S + 1.0) in ("i2", "i3")
+
+
+@pytest.mark.parametrize("statement", STATEMENTS)
+def test_statement_made_while_a_restored_copy_lists_an_earlier_run_holds_after_it(statement):
+    pool = PoolFixture()
+    run = BackendListed(backend_record("i1", zone="z1", started_ms=2))
+    pool.view.apply([run], NOW_S)
+    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=1))], NOW_S + 0.2)
+    pool.backend("i1").record_statement(statement, NOW_S + 0.3)
+    pool.view.apply([run], NOW_S + 0.5)
+    assert pool.most_chosen(NOW_S + 1.0) in ("i2", "i3")
+
+
+def test_limit_holds_when_a_restored_copy_lists_an_earlier_run():
+    pool = PoolFixture()
+    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=2))], NOW_S)
+    limit = pool.backend("i1").limit
+    limit.record_statement(ServerStatement(max_requests_per_s=0.1), NOW_S)
+    for _ in range(10):
+        limit.record_call(CallKind.FIRST, NOW_S + 0.1)
+    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=1))], NOW_S + 0.2)
+    assert pool.most_chosen(NOW_S + 1.0) in ("i2", "i3")
+
+
+def test_run_that_starts_after_one_that_left_is_used():
+    pool = PoolFixture()
+    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=2))], NOW_S)
+    pool.backend("i1").record_statement(ServerStatement(is_leaving=True), NOW_S)
+    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=3))], NOW_S + 0.2)
+    assert pool.most_chosen(NOW_S + 1.0) == "i1"
+
+
 def test_tried_servers_are_not_chosen_again():
     pool = PoolFixture()
     tried = pool.pool.service("s0").backends
