Let the transfer of a peer's view end while changes are missed

Cause: the check of missed changes, each 2 s, cancels the call to the followed peer. While none is followed, that call is the transfer of another peer's view, whose peer was then avoided for 3 s.

The new test failed before; a second one shows that a followed peer is still left.

Only the wait for changes is cancelled now.

--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -119,6 +119,7 @@
         "_choice",
         "_client",
         "_clock",
+        "_is_following",
         "_port",
         "_random",
         "_started_s",
@@ -140,12 +141,17 @@
         self._clock = clock
         self._random = random_source
         self._started_s = clock()
+        self._is_following = False
         self._choice = PeerChoice(peers, random_source)
         self._call = CancellableCall()
 
     def restart(self) -> None:
-        """Stop following a peer whose view has missed changes."""
-        self._call.cancel()
+        """Stop following a peer whose view has missed changes.
+
+        The transfer of another peer's view goes on, as this one may have the changes.
+        """
+        if self._is_following:
+            self._call.cancel()
 
     @classmethod
     def create(
@@ -212,7 +218,9 @@
                 f"&era={era_of(newest)}&wait_s={LONG_POLL_TIMEOUT_S}"
             )
             timeout_s = LONG_POLL_TIMEOUT_S + RESPONSE_TIMEOUT_S
+            self._is_following = True
             changes = await self._fetch(peer, CHANGES_PATH + query, timeout_s, PeerChanges)
+            self._is_following = False
             if changes is None or self._unreachable_topics() != topics:
                 break  # the peer may be behind a source that answers this router again
             sequence, newest = changes.sequence, changes.watermarks.newest_revision
--- a/tests/router/test_peer_follower.py
+++ b/tests/router/test_peer_follower.py
@@ -212,3 +212,38 @@
 # KNOWN-RED 32: three of four calls of such routers went to the readers of their data centre.
 def test_router_finds_the_readers_of_the_only_data_centre_that_the_store_answers():
     assert max(_seconds_to_another_peer(seed) for seed in range(40)) <= READ_AFTER_LOST_PEER_S
+
+
+# KNOWN-RED 32: a router that knew that it was behind cancelled the transfer of a newer view.
+def test_check_of_missed_changes_does_not_cancel_the_transfer_of_a_view():
+    async def follow():
+        loop = asyncio.get_running_loop()
+        view = View(MemoryLog())
+        members = [Member(Role.ENTRY, "10.0.1.1", "z1", 1)]
+        client = _ClientOfPeers(members, {"z1"}, transfer_s=1.0)
+        follower = PeerFollower(view, _Peers(members), 1, client, loop.time, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(SOURCE_UNREACHABLE_AFTER_S + 0.8)
+        follower.restart()
+        await asyncio.sleep(0.8)
+        task.cancel()
+        return all(view.is_fresh(topic) for topic in Topic)
+
+    assert run(follow())
+
+
+def test_check_of_missed_changes_ends_following_a_peer_that_lacks_them():
+    async def follow():
+        loop = asyncio.get_running_loop()
+        view = View(MemoryLog())
+        members = [Member(Role.ENTRY, "10.0.1.1", "z1", 1)]
+        client = _ClientOfPeers(members, {"z1"})
+        follower = PeerFollower(view, _Peers(members), 1, client, loop.time, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await _until(lambda: all(view.is_fresh(topic) for topic in Topic))
+        follower.restart()
+        await asyncio.sleep(0.1)
+        task.cancel()
+        return any(view.is_fresh(topic) for topic in Topic)
+
+    assert not run(follow())
