Let a router without a peer remove servers in time after they leave

Cause: it read the store once each 3 s and did not watch it in between. Each read counts as the end of an outage of the store, after which removals wait 2.5 s: 3.1 + 2.5 s.

In 30 s alone it reads the whole store at most ten times, as before.

After its own read the router looks for a peer for 1 s, then reads again and watches the store for 6 s, so that it learns of changes at once.

--- a/fighinge/router/peer_follower.py
+++ b/fighinge/router/peer_follower.py
@@ -41,6 +41,8 @@
 RESPONSE_TIMEOUT_S = 1.5  # transfers a view of 1 MB over a link of 10 Mbit/s
 MAX_CONCURRENT_CALLS = 2
 READ_WITHOUT_PEER_AFTER_S = 3.0  # after an outage of the store, its readers reconnect first
+PEER_SEARCH_S = 1.0  # between own reads; a removal waits 2.5 s after the second, and is due in 5 s
+LONE_READER_HOLD_S = 6.0  # watches of this time cost about as much as one more read
 READ_AFTER_LOST_PEER_S = 1.5  # the peer may have noticed only after 3 s; a version is due in 5 s
 RELIABLE_PEER_AFTER_S = 1.0  # a peer that has lost the store as well mostly refuses sooner
 POLL_JITTER_RATIO = 0.2  # avoids simultaneous requests by many routers
@@ -51,10 +53,11 @@
     """Decides whether this router reads the store itself.
 
     A few routers per data centre read it and the others follow them. A router without a peer to
-    follow reads the store ``READ_WITHOUT_PEER_AFTER_S`` after its start or its last own read, and
+    follow reads the store ``READ_WITHOUT_PEER_AFTER_S`` after its start, and
     ``READ_AFTER_LOST_PEER_S`` after it lost a peer. This time goes on while it follows peers that
-    soon lose the store too. A router that starts first waits until it can have learned of other
-    routers.
+    soon lose the store too. After its own read it looks for a peer for ``PEER_SEARCH_S``, then
+    reads again and watches the store for ``LONE_READER_HOLD_S``. A router that starts first waits
+    until it can have learned of other routers.
 
     :param start_wait_s: time in seconds from the start during which the store is not read
     """
@@ -63,7 +66,9 @@
         "_clock",
         "_earliest_read_s",
         "_followed_since_s",
-        "_own_read_s",
+        "_has_read_alone",
+        "_is_read_due",
+        "_next_read_s",
         "_peers",
         "_reader_until_s",
         "_stale_since_s",
@@ -78,7 +83,9 @@
         self._clock = clock
         self._earliest_read_s = clock() + start_wait_s
         self._reader_until_s = float("-inf")
-        self._own_read_s = self._earliest_read_s
+        self._next_read_s = self._earliest_read_s + READ_WITHOUT_PEER_AFTER_S
+        self._is_read_due = False
+        self._has_read_alone = False
         self._followed_since_s: float | None = None
         self._stale_since_s: float | None = None
 
@@ -91,27 +98,39 @@
             self._reader_until_s = now_s + READER_ROLE_HOLD_S
         if now_s < self._reader_until_s:
             return True
-        return self._lacks_peer(now_s)
+        return self._should_read_alone(now_s)
 
-    def _lacks_peer(self, now_s: float) -> bool:
-        """Return whether no peer has been followed for so long that an own read is due."""
+    def _should_read_alone(self, now_s: float) -> bool:
+        """Return whether an own read is due as no peer is followed, or goes on."""
         if all(self._view.is_source_reachable(topic) for topic in Topic):
-            self._own_read_s = now_s
-            self._stale_since_s = None
-            return False
+            return self._goes_on_reading(now_s)
         if all(self._view.is_fresh(topic) for topic in Topic):
             if self._followed_since_s is None:
                 self._followed_since_s = now_s
             if now_s - self._followed_since_s >= RELIABLE_PEER_AFTER_S:
                 self._stale_since_s = None
+                self._has_read_alone = False
+            self._is_read_due = False
             return False
         self._followed_since_s = None
         if self._stale_since_s is None:
             self._stale_since_s = now_s
-        return now_s >= max(
-            self._stale_since_s + READ_AFTER_LOST_PEER_S,
-            self._own_read_s + READ_WITHOUT_PEER_AFTER_S,
-        )
+        due_s = self._next_read_s
+        if not self._has_read_alone:
+            due_s = max(due_s, self._stale_since_s + READ_AFTER_LOST_PEER_S)
+        self._is_read_due = now_s >= due_s
+        return self._is_read_due
+
+    def _goes_on_reading(self, now_s: float) -> bool:
+        """Return whether a router whose own read has ended watches the store."""
+        was_due, self._is_read_due = self._is_read_due, False
+        was_alone, self._has_read_alone = self._has_read_alone, was_due or self._has_read_alone
+        self._stale_since_s = None
+        self._next_read_s = now_s + PEER_SEARCH_S
+        if was_due and was_alone:
+            self._reader_until_s = now_s + LONE_READER_HOLD_S
+            return True
+        return False
 
 
 class PeerFollower:
