Find the readers of the store in one pass over the members

A router without a peer to follow chooses one four times a second, and compared each member with each other one: 2.8 ms at 79 routers, 16 ms at 195, 90 ms at the 460 that are built towards, a third of a core on this machine (control may take 1.3%).

--- a/fighinge/configuration/readers.py
+++ b/fighinge/configuration/readers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING
 
 from fighinge.membership.member import MemberState
@@ -24,17 +25,38 @@
     :param candidate: the member in question, by default the local one
     """
     candidate = candidate or table.local_member
-    own_weight = rendezvous_weight(candidate.name, READER_HASH_KEY)
+    own_rank = _reader_rank(candidate)
     higher_ranked = sum(
         member.zone == candidate.zone
         and member.state is not MemberState.DEAD
         and not member.leaving
-        and rendezvous_weight(member.name, READER_HASH_KEY) > own_weight
+        and _reader_rank(member) > own_rank
         for member in (table.local_member, *table.reachable())
     )
     return higher_ranked < READERS_PER_ZONE
 
 
+def reachable_readers(table: MemberTable) -> list[Member]:
+    """Return the other reachable processes that watch the platform, as :func:`is_reader` says.
+
+    Compares each process with those of its data centre only once.
+    """
+    by_zone: dict[str, list[Member]] = {}
+    for member in (table.local_member, *table.reachable()):
+        if member.state is not MemberState.DEAD and not member.leaving:
+            by_zone.setdefault(member.zone, []).append(member)
+    return [
+        member
+        for members in by_zone.values()
+        for member in heapq.nlargest(READERS_PER_ZONE, members, key=_reader_rank)
+        if member is not table.local_member
+    ]
+
+
+def _reader_rank(member: Member) -> int:
+    return rendezvous_weight(member.name, READER_HASH_KEY)
+
+
 def fallback_interval_s(members: int, reads_per_s: float) -> float:
     """Return the seconds between fallback reads of a process that is not a reader.
 
--- a/fighinge/router/peer_choice.py
+++ b/fighinge/router/peer_choice.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fighinge.configuration.readers import is_reader
+from fighinge.configuration.readers import reachable_readers
 
 if TYPE_CHECKING:
     import random
@@ -55,7 +55,11 @@
             for member in table.reachable()
             if not member.leaving and self._avoid_until_s.get(member.host, 0.0) <= now_s
         ]
-        readers = [member for member in members if is_reader(table, member)]
+        readers = [
+            member
+            for member in reachable_readers(table)
+            if self._avoid_until_s.get(member.host, 0.0) <= now_s
+        ]
         untried = [
             member for member in readers if not _is_recent(self._refused_s.get(member.host), now_s)
         ]
--- a/tests/router/test_peer_follower.py
+++ b/tests/router/test_peer_follower.py
@@ -16,8 +16,9 @@
 from fighinge.configuration.readers import is_reader
 from fighinge.membership.member import Member, Role
 from fighinge.router.changes import BackendListed, ZoneEvacuated
-from fighinge.router.peer_choice import FAILED_PEER_AVOID_S
+from fighinge.router.peer_choice import FAILED_PEER_AVOID_S, PeerChoice
 from fighinge.router.peer_follower import (
+    POLL_INTERVAL_S,
     READ_AFTER_LOST_PEER_S,
     SOURCE_UNREACHABLE_AFTER_S,
     PeerFollower,
@@ -32,6 +33,9 @@
 from tests.router.builders import MemoryLog, backend_record
 from tests.virtual_time import run
 
+BUILT_TOWARDS_ROUTERS = 460
+MAX_CONTROL_CORES = 0.013
+CHOICES = 20
 UNUSED_PORT = 9  # no process listens on it
 
 
@@ -252,6 +256,22 @@
     assert not run(follow())
 
 
+# 90 ms at the size that is built towards, four times a second while a router has no peer.
+def test_choice_among_all_routers_takes_little_processor_time():
+    members = [
+        Member(Role.ENTRY, f"10.0.{zone}.{number}", f"z{zone}", 1)
+        for zone in (1, 2, 3)
+        for number in range(BUILT_TOWARDS_ROUTERS // 3)
+    ]
+    choice = PeerChoice(_Peers(members), random.Random(1))
+    choice.choose(0.0)
+    started_s = time.process_time()
+    for _ in range(CHOICES):
+        choice.choose(1.0)
+    used_s = (time.process_time() - started_s) / CHOICES
+    assert used_s / POLL_INTERVAL_S <= MAX_CONTROL_CORES
+
+
 def test_follower_accepts_compressed_views():
     accepted = []
 
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from fighinge.configuration.readers import READERS_PER_ZONE, is_reader
+from fighinge.configuration.readers import READERS_PER_ZONE, is_reader, reachable_readers
 from fighinge.membership.member import Member, MemberState, Role
 from fighinge.membership.table import MemberTable
 from fighinge.router.addresses import RouterAddress, choose_routers
@@ -186,6 +186,24 @@
     assert set(readers.values()) == {READERS_PER_ZONE}
 
 
+def test_readers_are_the_reachable_members_that_read_the_store():
+    members = [
+        msgspec.structs.replace(
+            member,
+            leaving=number % 7 == 0,
+            state=MemberState.SUSPECT if number % 5 == 0 else MemberState.ALIVE,
+        )
+        for number, member in enumerate(_members(*[1.0] * 60))
+    ]
+    table_of_member = _peers(members, 1).membership.table
+    readers = {member.host for member in reachable_readers(table_of_member)}
+    assert readers == {
+        member.host
+        for member in table_of_member.reachable()
+        if not member.leaving and is_reader(table_of_member, member)
+    }
+
+
 def _role_of_follower(view: View, clock_s: list[float]) -> ReaderRole:
     """Return the role of a router of thirty that is none of the readers."""
     members = _members(*[1.0] * 30)
