--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN = $(VENV)/bin/python
 STAMP = $(VENV)/.installed-$(shell cksum requirements.lock | cut -d' ' -f1)
 
-.PHONY: run serve test lint format bench soak histories generate
+.PHONY: run serve test quick lint format bench soak histories generate
 
 $(STAMP): requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +21,9 @@
 	$(RUN) -m pytest
 	$(RUN) -m behave --format progress --no-capture tests/features
 
+quick: $(STAMP)  ## Run the tests that start no router processes
+	$(RUN) -m pytest --ignore=tests/platform
+
 lint: $(STAMP)
 	$(RUN) -m black --check --quiet fighinge standins tests benchmarks demo
 	$(RUN) -m ruff check fighinge standins tests benchmarks demo
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -17,7 +17,11 @@
     5104,  # failed: a popular request was refused by a router that had just started
     8223,  # failed: a popular request was refused while the router that probes it was down
 )
-STORE_SEEDS = (10, 11)
+STORE_SEEDS = (
+    10,
+    11,
+    10287,  # failed: a server got requests in its pause while a restored copy listed an earlier run
+)
 FAILED_SEEDS = (  # (seed, whether servers had faults of their own, cause) of each seed that failed
     (
         403,
