--- a/tests/router/test_relay_encoding.py
+++ b/tests/router/test_relay_encoding.py
@@ -9,7 +9,7 @@
 import msgspec
 from tornado.httpclient import HTTPRequest
 from tornado.testing import bind_unused_port
-from tornado.web import Application
+from tornado.web import Application, RequestHandler
 
 from fighinge.curl import accept_compression, create_client, fetch_once
 from fighinge.router.changes import BackendListed, TablePublished
@@ -48,11 +48,16 @@
 
 def _with_server(relay: Relay, work):
     """Run a coroutine function with the address of a server of a relay."""
+    return _serve(relay_routes(relay), work)
+
+
+def _serve(routes: list[tuple], work):
+    """Run a coroutine function with the address of a server of these URL routes."""
 
     async def serve():
         listener, port = bind_unused_port()
         listener.close()
-        server = Application(relay_routes(relay), log_function=lambda _: None)
+        server = Application(routes, log_function=lambda _: None)
         server = server.listen(port, "127.0.0.1")
         try:
             return await work(f"http://127.0.0.1:{port}")
@@ -119,6 +124,32 @@
     )
 
 
+class _PlainRelay(RequestHandler):
+    """Answers like a router of before, which sends nothing compressed."""
+
+    def initialize(self, body: bytes) -> None:
+        self.body = body
+
+    def get(self) -> None:
+        """Send the view."""
+        self.write(self.body)
+
+
+def test_follower_reads_the_plain_view_of_a_router_of_before():
+    view = _large_relay().view()
+
+    async def work(address):
+        client = create_client(1)
+        try:
+            request = HTTPRequest(address + VIEW_PATH, request_timeout=5.0)
+            return (await fetch_once(client, request, prepare=accept_compression)).body
+        finally:
+            client.close()
+
+    routes = [(VIEW_PATH, _PlainRelay, {"body": msgspec.msgpack.encode(view)})]
+    assert msgspec.msgpack.decode(_serve(routes, work), type=PeerView) == view
+
+
 def test_changed_view_is_not_answered_by_the_one_before():
     view = _large_view()
 
