List the removal that waits after an own read of a router that lost its peer (KNOWN-RED 33)

A mend has to tell an outage of the store from servers that left; dropping at once what a minority of a service lacks is not measured.

--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -20,6 +20,7 @@
     ZoneEvacuated,
     ZoneReturned,
 )
+from fighinge.router.follower import WATCH_TIMEOUT_S
 from fighinge.router.peer_follower import READ_WITHOUT_PEER_AFTER_S, ReaderRole
 from fighinge.router.peers import Peers
 from fighinge.router.relay import MAX_RETAINED_CHANGES, Relay, Watermarks
@@ -300,6 +301,30 @@
     assert late_s + STORE_READ_S <= MAX_LEAVING_DELAY_S
 
 
+@pytest.mark.xfail(
+    strict=True, reason="KNOWN-RED 33: a removal waits after an own read, as after an outage"
+)
+def test_router_that_loses_its_peer_removes_a_server_in_time_after_it_has_left():
+    """The server leaves as the peer's store falls silent, and no other peer can be followed."""
+    clock_s = [NOW_S]
+    view = _view(is_reachable=False)
+    role = _role_of_follower(view, clock_s)
+    view.apply([BackendListed(backend_record("i1"))], NOW_S, from_peer=True)
+    for topic in Topic:
+        view.record_relay_answer(topic, "10.0.0.1", NOW_S)
+    for step in range(int(10 * (MAX_LEAVING_DELAY_S - STORE_READ_S))):
+        clock_s[0] = NOW_S + 0.1 * step
+        if step == int(10 * WATCH_TIMEOUT_S):
+            for topic in Topic:
+                view.record_relay_failure(topic, clock_s[0])
+        if role.should_read() and not view.is_source_reachable(Topic.BACKENDS):
+            for topic in Topic:
+                view.record_source_answer(topic, clock_s[0])
+            view.replace(Topic.BACKENDS, [], clock_s[0])
+        view.expire(clock_s[0])
+    assert not view.backends
+
+
 def test_share_of_rates_leaves_out_other_routers_that_are_cut_off():
     members = [
         Member(Role.ENTRY, f"10.0.0.{number}", "z1", 1, is_cut_off=number >= 3)
