Use a server again whose earlier run left before a restored copy listed it

After, a server was out of service for 30 s if the store came back from a copy of before its restart, and its earlier run had left then, as in each rolling restart; also if it started anew while the copy listed an earlier run. Found by reading the change again; callers had not seen it.

Cause: what an earlier run had said, or its record, counted for the later one, and was passed on with the pause of the run before.

The leaving is adopted only from a later run, or if answers have said it since the copy was listed, and is kept apart from the pause, which a new run takes over.

--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -51,6 +51,7 @@
     """Counts calls in flight and updates its statistics with the result of each call."""
 
     __slots__ = (
+        "_adopted_leaving_until_s",
         "_calls",
         "_cold_calls",
         "_cold_until_s",
@@ -61,11 +62,13 @@
         "_failure_rate_updated_s",
         "_is_slow",
         "_last_call_number",
+        "_leaving_said_s",
         "_load_reported_s",
         "_log",
         "_next_run_leaves_until_s",
         "_refused_until_s",
         "_reported_load",
+        "_restored_s",
         "_shed_until_s",
         "_slowness",
         "_slowness_updated_s",
@@ -85,6 +88,9 @@
         self._is_slow = False
         self.is_leaving = record.is_draining
         self._refused_until_s = float("-inf")
+        self._leaving_said_s = float("-inf")
+        self._adopted_leaving_until_s = float("-inf")
+        self._restored_s = float("-inf")
         self.limit = NamedLimit(record, log, router_share)
         self.connection_quota = 1
         self.cold_quota: int | None = None
@@ -155,24 +161,29 @@
     def adopt_restored(self, previous: Backend, now_s: float) -> None:
         """Heed what another run of this server said, after a restored copy exchanged their records.
 
-        Answers count for the run that is listed, whichever of the two gave them.
+        Answers count for the run that is listed, whichever of the two gave them. That an earlier
+        run left before it was listed again says nothing of this one.
         """
         self.adopt_statements(previous)
         self.limit = previous.limit
-        if previous.is_leaving:
-            self._refused_until_s = max(self._refused_until_s, now_s + ADOPTED_LEAVING_S)
+        is_earlier = previous.record.started_ms < self.record.started_ms
+        has_said_so = previous._leaving_said_s > previous._restored_s
+        if previous.is_leaving and (has_said_so or not is_earlier):
+            self._adopted_leaving_until_s = now_s + ADOPTED_LEAVING_S
+        self._restored_s = now_s
 
     def is_in_service(self, now_s: float) -> bool:
         """Return whether the server takes calls, apart from limits of their number."""
+        is_leaving = self.is_leaving or now_s < self._adopted_leaving_until_s
         is_refused = now_s < self._refused_until_s
-        return not (self.is_leaving or is_refused or now_s < self._down_until_s)
+        return not (is_leaving or is_refused or now_s < self._down_until_s)
 
     def wait_s(self, now_s: float) -> float | None:
         """Return the time until a further caller's request may be sent.
 
         :returns: seconds, ``None`` if the server itself has not told
         """
-        if self.is_leaving or self.is_down(now_s):
+        if self.is_leaving or now_s < self._adopted_leaving_until_s or self.is_down(now_s):
             return None
         wait_s = max(self.refusal_left_s(now_s), self.limit.wait_s(now_s))
         return wait_s if wait_s > 0 else None
@@ -297,6 +308,8 @@
             observe_statement("leaving" if is_new else "refusal")
         if is_new and now_s - self._unreachable_s <= MAX_RECORD_DELAY_S:
             self._next_run_leaves_until_s = now_s + ADOPTED_LEAVING_S
+        if is_new:
+            self._leaving_said_s = now_s
         self.is_leaving = self.is_leaving or statement.is_leaving
         self._refused_until_s = max(self._refused_until_s, refused_until_s)
 
--- a/tests/router/test_pool.py
+++ b/tests/router/test_pool.py
@@ -349,6 +349,26 @@
     assert pool.most_chosen(NOW_S + 1.0) in ("i2", "i3")
 
 
+def test_run_is_used_again_after_a_restored_copy_listed_an_earlier_one_that_left():
+    """The earlier run left before a rolling restart, and the copy is from that time."""
+    pool = PoolFixture()
+    left = backend_record("i1", zone="z1", started_ms=1, is_draining=True)
+    run = BackendListed(backend_record("i1", zone="z1", started_ms=2))
+    for record in (BackendListed(left), run, BackendListed(left), run):
+        pool.view.apply([record], NOW_S)
+    assert pool.most_chosen(NOW_S + 1.0) == "i1"
+
+
+def test_run_that_starts_while_a_restored_copy_lists_an_earlier_one_is_used():
+    pool = PoolFixture()
+    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=2))], NOW_S)
+    pool.backend("i1").record_statement(ServerStatement(is_leaving=True), NOW_S)
+    for started_ms in (1, 3):
+        record = backend_record("i1", zone="z1", started_ms=started_ms)
+        pool.view.apply([BackendListed(record)], NOW_S + 0.2 * started_ms)
+    assert pool.most_chosen(NOW_S + 1.0) == "i1"
+
+
 def test_run_that_starts_after_one_that_left_is_used():
     pool = PoolFixture()
     pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=2))], NOW_S)
