--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -161,16 +161,20 @@
     :param minutes: duration in minutes, if ``rounds`` is 0
     :param rounds: number of seeds to run, instead of a duration
     :param routers: number of router processes
-    :param logs: folder that gets the routers' logs of each seed that fails
+    :param logs: folder that gets the routers' logs of each seed that fails, also at its start
     """
     end_s = time.monotonic() + 60 * minutes
     failed = 0
     completed = 0
     while completed < rounds if rounds else time.monotonic() < end_s:
         with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as directory:
-            outcome = asyncio.run(run_seed(seed + completed, Path(directory), routers))
-            if logs is not None and not outcome.is_good:
-                shutil.copytree(directory, logs / str(outcome.seed), dirs_exist_ok=True)
+            is_good = False
+            try:
+                outcome = asyncio.run(run_seed(seed + completed, Path(directory), routers))
+                is_good = outcome.is_good
+            finally:  # also if the fleet does not start
+                if logs is not None and not is_good:
+                    shutil.copytree(directory, logs / str(seed + completed), dirs_exist_ok=True)
         print(msgspec.json.encode(outcome).decode(), flush=True)
         failed += not outcome.is_good
         completed += 1
