--- a/tests/router/test_pool.py
+++ b/tests/router/test_pool.py
@@ -304,37 +304,33 @@
     assert pool.most_chosen(NOW_S + 3.1) == "i1"
 
 
-# Soak seed 10287: a router called a server in its pause after the store had been restored.
 STATEMENTS = [ServerStatement(refusal_s=3.0), ServerStatement(is_leaving=True)]
 
 
-# KNOWN-RED 31: a restored record of an earlier run had no statements.
-@pytest.mark.parametrize("statement", STATEMENTS)
-def test_statement_holds_when_a_restored_copy_lists_an_earlier_run(statement):
-    pool = PoolFixture()
-    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=2))], NOW_S)
-    pool.backend("i1").record_statement(statement, NOW_S)
-    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=1))], NOW_S + 0.2)
-    assert pool.most_chosen(NOW_S + 1.0) in ("i2", "i3")
+def _list_run(pool, started_ms, now_s):
+    """List a run of the server in this data centre."""
+    record = backend_record("i1", zone="z1", started_ms=started_ms)
+    pool.view.apply([BackendListed(record)], now_s)
 
 
+# Soak seed 10287: a router called a server in its pause after the store had been restored.
+@pytest.mark.parametrize("restored_ms", [1, 0], ids=["known run", "unknown run"])
 @pytest.mark.parametrize("statement", STATEMENTS)
-def test_statement_holds_when_a_restored_copy_lists_a_run_of_before_its_start(statement):
+def test_statement_holds_when_a_restored_copy_lists_an_earlier_run(statement, restored_ms):
     pool = PoolFixture()
-    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=2))], NOW_S)
+    _list_run(pool, 2, NOW_S)
     pool.backend("i1").record_statement(statement, NOW_S)
-    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=0))], NOW_S + 0.2)
+    _list_run(pool, restored_ms, NOW_S + 0.2)
     assert pool.most_chosen(NOW_S + 1.0) in ("i2", "i3")
 
 
 @pytest.mark.parametrize("statement", STATEMENTS)
 def test_statement_made_while_a_restored_copy_lists_an_earlier_run_holds_after_it(statement):
     pool = PoolFixture()
-    run = BackendListed(backend_record("i1", zone="z1", started_ms=2))
-    pool.view.apply([run], NOW_S)
-    pool.view.apply([BackendListed(backend_record("i1", zone="z1", started_ms=1))], NOW_S + 0.2)
+    _list_run(pool, 2, NOW_S)
+    _list_run(pool, 1, NOW_S + 0.2)
     pool.backend("i1").record_statement(statement, NOW_S + 0.3)
-    pool.view.apply([run], NOW_S + 0.5)
+    _list_run(pool, 2, NOW_S + 0.5)
     assert pool.most_chosen(NOW_S + 1.0) in ("i2", "i3")
 
 
