--- a/fighinge/errors.py
+++ b/fighinge/errors.py
@@ -14,6 +14,8 @@
     TOO_LARGE = "too_large"
     UNKNOWN_PATH = "unknown_path"
     WRONG_METHOD = "wrong_method"
+    UNAUTHENTICATED = "unauthenticated"
+    QUOTA_EXCEEDED = "quota_exceeded"
     UNKNOWN_SERVICE = "unknown_service"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
@@ -54,6 +56,8 @@
     ErrorKind.TOO_LARGE: ErrorProperties(413, may_resend=False, not_run=True),
     ErrorKind.UNKNOWN_PATH: ErrorProperties(404, may_resend=False, not_run=True),
     ErrorKind.WRONG_METHOD: ErrorProperties(405, may_resend=False, not_run=True),
+    ErrorKind.UNAUTHENTICATED: ErrorProperties(401, may_resend=False, not_run=True),
+    ErrorKind.QUOTA_EXCEEDED: ErrorProperties(429, may_resend=True, not_run=True),
     ErrorKind.UNKNOWN_SERVICE: ErrorProperties(404, may_resend=False, not_run=True),
     ErrorKind.NOT_READY: ErrorProperties(503, may_resend=True, not_run=True),
     ErrorKind.STOPPING: ErrorProperties(503, may_resend=True, not_run=True),
--- a/fighinge/platform/settings.py
+++ b/fighinge/platform/settings.py
@@ -15,6 +15,8 @@
 SETTINGS_VARIABLE = "FIGHINGE_BOOT"
 MAX_NUMBER = 1e9  # of a setting; keeps sums and products of settings finite
 MAX_PORT = 65_535
+BYTES_PER_MB = 1024 * 1024
+ACCOUNTS_CONTRACT = "tenants"
 
 Number = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0, le=MAX_NUMBER)]
@@ -33,7 +35,7 @@
 
 
 class _Limits(_Section):
-    """CPU limits.
+    """Limits of the process and its host.
 
     ``cpu-share`` is a fraction of one core; ``cores`` is the speed of that core relative to a
     reference core, not a number of cores.
@@ -41,6 +43,9 @@
 
     cpu_share: PositiveNumber = 1.0
     cores: PositiveNumber = 1.0
+    memory_mb: PositiveNumber = 512
+    max_fds: PositiveNumber = 4096
+    link_mbps: PositiveNumber = 1000
 
 
 class _Bounds(_Section):
@@ -52,6 +57,13 @@
     cold_overage: Number = 1.0
     cold_slack: Number = 0.0
     ttl_max_s: Number = 5.0
+    quota_window_s: PositiveNumber = 5.0
+    quota_overage: Number = 0.0
+    quota_slack: Number = 0.0
+
+
+class _Tolerate(_Section):
+    machines: Number = 2
 
 
 class _Platform(_Section):
@@ -71,6 +83,8 @@
     bootstrap: bool = False
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
+    contracts: list[str] = []
 
 
 def settings_path() -> Path | Failure:
@@ -116,6 +130,14 @@
         max_address_ttl_s=bounds.ttl_max_s,
         capacity_cores=raw.limits.cpu_share * raw.limits.cores,
         is_first_start=raw.bootstrap,
+        memory_bytes=int(raw.limits.memory_mb * BYTES_PER_MB),
+        max_descriptors=int(raw.limits.max_fds),
+        link_bits_per_s=raw.limits.link_mbps * 1e6,
+        tolerated_host_losses=int(raw.tolerate.machines),
+        uses_accounts=ACCOUNTS_CONTRACT in raw.contracts,
+        quota_window_s=bounds.quota_window_s,
+        quota_overage=bounds.quota_overage,
+        quota_slack=bounds.quota_slack,
     )
 
 
--- a/fighinge/router/model.py
+++ b/fighinge/router/model.py
@@ -31,7 +31,7 @@
     """Where requests with a host and a path prefix are sent.
 
     ``targets`` is empty if ``gather`` is set. ``max_attempts`` limits the number of backend servers
-    that one request is sent to, separately for each shard.
+    that one request is sent to, separately for each shard. Requests on a public route need no key.
     """
 
     name: str
@@ -44,6 +44,7 @@
     max_attempts: int
     targets: tuple[Target, ...] = ()
     gather: Gather | None = None
+    is_public: bool = False
 
     def service_names(self) -> frozenset[str]:
         """Return the services that requests may be sent to."""
@@ -77,13 +78,33 @@
     idle_timeout_s: float = 60.0
 
 
+class ClientAccount(msgspec.Struct, frozen=True):
+    """A client account, whose keys callers present.
+
+    ``key_digests`` identify its keys without disclosing them. ``priority`` is the rank of its
+    requests, 0 the highest, in place of the route's if it is set. ``rate_per_s`` and ``burst`` are
+    its quota over all routers; a rate of 0 is no limit.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class RoutingTable(msgspec.Struct, frozen=True):
-    """A version of the configuration."""
+    """A version of the configuration.
+
+    ``accounts`` is ``None`` in a table from a peer of a build without client accounts, which does
+    not tell whether there are any.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceConfig]
     limits: CallerLimits
+    accounts: tuple[ClientAccount, ...] | None = None
 
 
 class RouteIndex:
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -26,6 +26,7 @@
 from fighinge.router.http_server import CallerServer
 from fighinge.router.listening import open_when_free
 from fighinge.router.metrics import ROUTERS, STORE_ERA, VERSION, VIEW_AGE
+from fighinge.router.peer_channel import PeerChannel
 from fighinge.router.peer_follower import PeerFollower, ReaderRole
 from fighinge.router.peers import Peers
 from fighinge.router.pool import BackendPool
@@ -52,6 +53,7 @@
 DRAIN_DELAY_S = 2.5  # longer than the TTL of addresses, after which callers have resolved again
 FLEET_START_READ_DELAY_S = 2.0  # all routers start within 0.3 s, many seconds before any caller
 RESTART_READ_DELAY_S = 0.08  # a seed answers a restarted router within some milliseconds
+PEER_CHANNEL_PORT_OFFSET = 2  # after the ports for gossip and metrics
 SETTINGS_POLL_INTERVAL_S = 5.0  # applies a change within seconds if no SIGHUP is sent
 RESTART_ONLY_SETTINGS = (
     *("address", "zone", "caller_port", "readiness_port", "address_port", "control_port"),
@@ -101,6 +103,11 @@
         self.calls = PooledBackendCalls.create(settings.address)
         self._staleness = StalenessDetector(self.view, steady_clock)
         self.peers = Peers(settings, steady_clock, time.time, self._random, self._staleness)
+        self.channel = PeerChannel.from_address(
+            settings.address,
+            settings.gossip_port + PEER_CHANNEL_PORT_OFFSET,
+            self.peers.is_known,
+        )
         suspects = CrashSuspects(
             self.peers.board, log, self._handle_quarantine, started_s=steady_clock()
         )
@@ -179,6 +186,7 @@
         )
         await self.listen(control.listen, self.settings.control_port)
         await self.listen(self.caller_server.listen, self.settings.caller_port)
+        await self._open(self.channel.open, self.settings.gossip_port + PEER_CHANNEL_PORT_OFFSET)
         self.spawn(self._run_membership())  # peers name this router to callers from now on
         self.log.write(
             "started",
@@ -254,6 +262,7 @@
         self.calls.close()
         self._peer_follower.close()
         self._forwarder.close()
+        self.channel.close()
         self.log.flush()
 
     async def _run_membership(self) -> None:
--- a/fighinge/router/settings.py
+++ b/fighinge/router/settings.py
@@ -13,6 +13,12 @@
     ``cold_rate_factor`` and ``cold_rate_slack`` limit the requests per second to a backend server
     during its cold start. ``stop_timeout_s`` is the time between SIGTERM and SIGKILL.
     ``is_first_start`` is true if all routers start at about the same time.
+
+    ``memory_bytes`` and ``max_descriptors`` are the limits of this process, ``link_bits_per_s`` the
+    bandwidth of its host. ``tolerated_host_losses`` is how many hosts may fail at once.
+    ``uses_accounts`` says that the configuration names client accounts. The quota settings bound
+    the requests of an account in any ``quota_window_s``, summed over all routers: what its rate and
+    burst allow, times ``1 + quota_overage``, plus ``quota_slack``.
     """
 
     name: str
@@ -36,3 +42,11 @@
     max_address_ttl_s: float
     capacity_cores: float
     is_first_start: bool
+    memory_bytes: int = 512 * 1024 * 1024
+    max_descriptors: int = 4096
+    link_bits_per_s: float = 1e9
+    tolerated_host_losses: int = 2
+    uses_accounts: bool = False
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import os
 import signal
 import subprocess
 import sys
@@ -30,7 +31,8 @@
 STOP_TIMEOUT_S = 6
 POLL_INTERVAL_S = 0.03
 ROUTER_COMMAND = (sys.executable, "-S", "fighinge/platform/start.py")  # of deploy/system.toml
-_networks = itertools.count(60)
+FIRST_NETWORK = int(os.environ.get("FIGHINGE_TEST_NETWORK", "60"))  # differs between parallel runs
+_networks = itertools.count(FIRST_NETWORK)
 
 
 class Reply(msgspec.Struct):
