--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -9,6 +9,7 @@
 
 from fighinge.aggregator.base import Address
 from fighinge.platform.records import decode_delete, decode_put
+from fighinge.router.accounts import key_digest
 from fighinge.router.changes import (
     BackendListed,
     BackendUnlisted,
@@ -155,3 +156,53 @@
         raw = re.sub(rb'("%b":)[0-9]+' % field.encode(), rb"\g<1>%d" % (2**63 - 1), raw, count=1)
     change = decode_put("op/config", raw)
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(change), type=TablePublished) == change
+
+
+ACCOUNT = {
+    "name": "kami770",
+    "api-keys": ["key-a", "key-b"],
+    "priority": 0,
+    "rate-per-s": 11,
+    "burst": 12.5,
+}
+
+
+def _configuration(**changes) -> bytes:
+    return msgspec.json.encode(CONFIG | changes)
+
+
+def test_client_accounts_are_decoded_with_digests_of_their_keys():
+    """Guards against keys in what routers pass to each other and log."""
+    value = _configuration(tenants=[ACCOUNT, {"name": "plain"}])
+    table = decode_put("op/config", value).table
+    desk, plain = table.accounts
+    assert (desk.name, desk.priority, desk.rate_per_s, desk.burst) == ("kami770", 0, 11.0, 12.5)
+    assert desk.key_digests == (key_digest("key-a"), key_digest("key-b"))
+    assert (plain.key_digests, plain.priority, plain.rate_per_s) == ((), None, 0.0)
+    assert b"key-a" not in msgspec.msgpack.encode(table)
+
+
+def test_configuration_without_accounts_has_none():
+    assert decode_put("op/config", _configuration()).table.accounts == ()
+
+
+def test_public_routes_are_decoded():
+    routes = [CONFIG["routes"][0] | {"public": True}, CONFIG["routes"][1]]
+    table = decode_put("op/config", _configuration(routes=routes)).table
+    assert [route.is_public for route in table.routes] == [True, False]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *(("name", value) for value in ("", "two words", "x\r\ny: z", 5, None)),
+        *(("api-keys", value) for value in ("key", [""], [5])),
+        *(("priority", value) for value in ("high", 1.5, 2**64)),
+        *(("rate-per-s", value) for value in (-1, "many", 1e300)),
+        *(("burst", value) for value in (-1, "many", 1e300)),
+    ],
+)
+def test_invalid_client_account_is_refused_by_its_field(field, value):
+    change = decode_put("op/config", _configuration(tenants=[ACCOUNT | {field: value}]))
+    assert isinstance(change, Unreadable)
+    assert f"tenants[0].{field}" in change.reason
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -11,6 +11,7 @@
 from fighinge.errors import Failure
 from fighinge.facts import FactBoard
 from fighinge.platform.headers import PlatformCodec
+from fighinge.router.accounts import key_digest
 from fighinge.router.addresses import RouterAddress
 from fighinge.router.call_runner import CallRunner
 from fighinge.router.changes import BackendListed, TablePublished
@@ -28,6 +29,7 @@
 from fighinge.router.model import (
     BackendRecord,
     CallerLimits,
+    ClientAccount,
     Gather,
     Route,
     RoutingTable,
@@ -35,6 +37,7 @@
     Target,
 )
 from fighinge.router.pool import BackendPool
+from fighinge.router.quota_gate import QuotaGate
 from fighinge.router.reachability import Reachability
 from fighinge.router.retry_budget import RetryBudgetLimits
 from fighinge.router.service import RouterService
@@ -126,11 +129,23 @@
     return ServiceConfig(**fields)
 
 
-def table(*routes: Route, version: int = 1, services: int = 4, **changes) -> RoutingTable:
+def table(
+    *routes: Route,
+    version: int = 1,
+    services: int = 4,
+    accounts: tuple[ClientAccount, ...] | None = (),
+    **changes,
+) -> RoutingTable:
     """Return a routing table with the services ``s0``, ``s1`` and so on."""
     names = [f"s{number}" for number in range(services)]
     described = {name: service(name, **changes) for name in names}
-    return RoutingTable(version, routes, described, CallerLimits())
+    return RoutingTable(version, routes, described, CallerLimits(), accounts)
+
+
+def client_account(name: str = "desk", *keys: str, **changes) -> ClientAccount:
+    """Return a client account that holds keys, by default one."""
+    digests = tuple(key_digest(key) for key in keys or (f"{name}-key",))
+    return ClientAccount(name, digests, **changes)
 
 
 def backend_record(instance_id: str, service_name: str = "s0", **changes) -> BackendRecord:
@@ -193,6 +208,7 @@
         self.scripts: dict[str, list[tuple[float, object]]] = {}
         self.default_delay_s = TYPICAL_S
         self.sent: list[tuple[str, float]] = []
+        self.sent_headers: list[tuple[tuple[str, str], ...]] = []
         self.next_results: list[object] = []
         self.refusing: set[Address] = set()
         self.ended: set[Address] = set()
@@ -217,6 +233,7 @@
         """Run the next step of the instance that the request expects."""
         on_start()
         instance_id = dict(content.headers)["X-Expect-Instance"]
+        self.sent_headers.append(content.headers)
         self.sent.append((instance_id, asyncio.get_running_loop().time()))
         steps = self.scripts.get(instance_id, [(self.default_delay_s, None)])
         delay_s, result = steps.pop(0) if len(steps) > 1 else steps[0]
@@ -297,6 +314,8 @@
         budget_slack: float = 100.0,
         budget_ratio: float = 0.2,
         links_seed: int = 2,
+        uses_accounts: bool = False,
+        quota_gate: QuotaGate | None = None,
     ) -> None:
         self.clock = asyncio.get_running_loop().time
         self.log = MemoryLog()
@@ -328,7 +347,15 @@
         self.forwarder = ScriptedForwarder()
         handover = Handover(self.reachability, self.forwarder, self.pool, self.log, self.clock)
         self.service = RouterService(
-            self.view, self.pool, self.call_runner, handover, codec, self.log, self.clock
+            self.view,
+            self.pool,
+            self.call_runner,
+            handover,
+            codec,
+            self.log,
+            self.clock,
+            quota_gate,
+            uses_accounts=uses_accounts,
         )
         for topic in Topic:
             self.view.record_source_answer(topic, self.clock())
--- a/tests/router/peer_messages.py
+++ b/tests/router/peer_messages.py
@@ -44,7 +44,7 @@
     watermarks = Watermarks(
         {"configuration": 40, "backends": 42}, {"configuration": 30, "backends": 41}, eras, eras
     )
-    published = table(route(), gather_route(), version=9)
+    published = table(route(), gather_route(), version=9, accounts=None)
     listed = backend_record("i1", is_draining=True, started_ms=1_764_800_000_000)
     return {
         "view": PeerView("e1", 12, published, (listed,), ("z2",), watermarks),
