Send callers to as few hosts as serve the load

Cause: on a deployment of 32 hosts of similar capacity, callers were spread over all of them.

Callers of a data centre now get the addresses of the largest hosts that carry its load at half of their capacity, and of one more than may fail at once. Hosts are added at once and removed slowly. Limits follow the selection: a host that no longer carries callers keeps its part until its calls have left the window of the retry budget, one that joins waits until the others know. Data centres with no more high-capacity hosts than that minimum are served as before, and announce nothing new.

--- a/fighinge/membership/member.py
+++ b/fighinge/membership/member.py
@@ -11,6 +11,7 @@
 
 ShortText = Annotated[str, msgspec.Meta(max_length=64)]
 Cores = Annotated[float, msgspec.Meta(ge=0, le=4096)]
+Utilisation = Annotated[float, msgspec.Meta(ge=0, le=64)]
 Incarnation = Annotated[int, msgspec.Meta(ge=0, le=MAX_INCARNATION)]
 
 
@@ -53,7 +54,7 @@
     Only the member itself increments its ``incarnation``: when its own state changes, and to
     refute an update from another member. ``accuser`` is the name of the member that suspects
     it. ``capacity_cores`` is its CPU quota in cores. ``is_cut_off`` says that it reaches no backend
-    server.
+    server. ``utilisation`` is the part of the host's scarcest resource that is in use, in steps.
     """
 
     role: Role
@@ -66,6 +67,7 @@
     accuser: ShortText = ""
     capacity_cores: Cores = 1.0
     is_cut_off: bool = False
+    utilisation: Utilisation = 0.0
 
     @property
     def name(self) -> str:
--- a/fighinge/platform/servers.py
+++ b/fighinge/platform/servers.py
@@ -37,7 +37,7 @@
     def get(self) -> None:
         settings = self.router.settings
         routers = choose_routers(
-            self.router.peers.accepting_routers(),
+            self.router.peers.routers_for_callers(),
             self.get_query_argument("zone", ""),
             settings.region_by_zone,
             self.router.server_zones,
--- a/fighinge/router/addresses.py
+++ b/fighinge/router/addresses.py
@@ -22,6 +22,7 @@
     """A router that accepts new requests.
 
     A suspected one may have failed; one that is cut off has to forward its requests.
+    ``utilisation`` is the part of its host's scarcest resource that is in use.
     """
 
     host: str
@@ -30,6 +31,7 @@
     is_overloaded: bool = False
     capacity_cores: float = 1.0
     is_cut_off: bool = False
+    utilisation: float = 0.0
 
 
 def high_capacity_routers(routers: Iterable[RouterAddress]) -> list[RouterAddress]:
@@ -44,6 +46,14 @@
     return high_capacity if len(high_capacity) >= MIN_HIGH_CAPACITY_ROUTERS else routers
 
 
+def usable_routers(routers: Iterable[RouterAddress]) -> list[RouterAddress]:
+    """Return the routers that serve callers well, on high-capacity hosts, or all without any."""
+    usable = list(routers)
+    usable = [router for router in usable if not router.is_suspect] or usable
+    usable = [router for router in usable if not router.is_cut_off] or usable
+    return high_capacity_routers(router for router in usable if not router.is_overloaded) or usable
+
+
 def zones_with_servers(records: Iterable[BackendRecord]) -> frozenset[str]:
     """Return the data centres whose servers answer most requests without calls to others."""
     services: dict[str, set[str]] = {}
@@ -74,12 +84,7 @@
 
     :param server_zones: data centres with servers, as far as they are known
     """
-    usable = list(routers)
-    usable = [router for router in usable if not router.is_suspect] or usable
-    usable = [router for router in usable if not router.is_cut_off] or usable
-    usable = (
-        high_capacity_routers(router for router in usable if not router.is_overloaded) or usable
-    )
+    usable = usable_routers(routers)
     region = region_by_zone.get(zone)
 
     def distance(router: RouterAddress) -> tuple[bool, bool, str]:
--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+HEADER_BYTES = 400  # of a request or a response, for the use of the link
 CONNECT_TIMEOUT_S = 0.4  # 40 times the slowest handshake, below the SYN retransmission after 1 s
 
 
@@ -53,10 +54,11 @@
     afterwards, as no other such request would use it.
     """
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_pool", "transferred_bytes")
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
+        self.transferred_bytes = 0
 
     @classmethod
     def create(cls, source_address: str = "") -> PooledBackendCalls:
@@ -71,6 +73,11 @@
         """Return the number of cancelled calls whose responses may still arrive."""
         return self._pool.late_connections
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections to backend servers."""
+        return self._pool.open_connections
+
     def close(self) -> None:
         """Close every connection."""
         self._pool.close()
@@ -105,8 +112,12 @@
             return CallFailure(CallFault.CONNECTION_LIMIT, "no time is left for the call")
         if on_start is not None:
             on_start()
+        self.transferred_bytes += len(request.body) + HEADER_BYTES
         try:
-            return await connection.send(request, remaining_s, may_reuse=is_idempotent)
+            response = await connection.send(request, remaining_s, may_reuse=is_idempotent)
+            if isinstance(response, RawResponse):
+                self.transferred_bytes += len(response.body) + HEADER_BYTES
+            return response
         except asyncio.CancelledError:
             self._pool.cancel(connection, on_late_response)
             raise
--- a/fighinge/router/connection_pool.py
+++ b/fighinge/router/connection_pool.py
@@ -51,6 +51,11 @@
         """Return the number of cancelled calls whose responses may still arrive."""
         return len(self._late)
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of open connections, idle ones included."""
+        return len(self._open)
+
     def close(self) -> None:
         """Close every connection."""
         for connection in list(self._open):
--- a/fighinge/router/http_server.py
+++ b/fighinge/router/http_server.py
@@ -49,6 +49,7 @@
         self._end_s = float("inf")
         self._last_long_s = float("inf")
         self._was_idle = True
+        self.sent_bytes = 0
         self._server = HTTPServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
@@ -224,6 +225,7 @@
             del headers["Content-Length"]
         if connection.stream.closed():
             return
+        self.sent_bytes += len(body)
         connection.write_headers(start_line, headers, body or None)
         connection.finish()
 
--- a/fighinge/router/peers.py
+++ b/fighinge/router/peers.py
@@ -11,7 +11,13 @@
 from fighinge.membership.service import Membership
 from fighinge.membership.transport import UdpTransport
 from fighinge.ownership import rendezvous_weight
-from fighinge.router.addresses import MAX_ADDRESSES, RouterAddress, high_capacity_routers
+from fighinge.router.addresses import (
+    MAX_ADDRESSES,
+    RouterAddress,
+    high_capacity_routers,
+    usable_routers,
+)
+from fighinge.router.host_selection import HostSelection
 
 if TYPE_CHECKING:
     import random
@@ -26,7 +32,15 @@
 class Peers:
     """Membership of this router among all routers."""
 
-    __slots__ = ("_region_by_zone", "_seeds", "board", "membership")
+    __slots__ = (
+        "_clock",
+        "_for_callers",
+        "_region_by_zone",
+        "_seeds",
+        "_selection",
+        "board",
+        "membership",
+    )
 
     def __init__(
         self,
@@ -37,6 +51,9 @@
         staleness: StalenessDetector | None = None,
     ) -> None:
         self._seeds = set(settings.seeds)
+        self._clock = clock
+        self._for_callers: list[RouterAddress] = []
+        self._selection = HostSelection(settings.tolerated_host_losses)
         self._region_by_zone = settings.region_by_zone
         self.board = FactBoard()
         ports = GossipPorts(settings.gossip_port, settings.gossip_port)
@@ -75,7 +92,7 @@
 
         :param of_reaching: leave out the other routers that are cut off from the backend servers
 
-        High-capacity routers, to which callers are sent, get most of it. Recently failed routers
+        The routers to which callers are sent get most of it. Recently failed routers
         count too, as they may only be partitioned and still use their share. Until membership is
         complete, at least the seeds are counted.
         """
@@ -86,13 +103,19 @@
             if not (of_reaching and member.is_cut_off and member is not local)
         ]
         missing = max(0, len(self._seeds) + 1 - len(self.membership.table.members()))
-        high_capacity = high_capacity_routers(known)
-        low_capacity = len(known) - len(high_capacity)
-        if not low_capacity:
+        now_s = self._clock()
+        carrying = [
+            router
+            for router in high_capacity_routers(known)
+            if not self._selection.is_surplus(router.host, now_s)
+        ]
+        others = len(known) - len(carrying)
+        if not others:
             return 1.0 / (len(known) + missing)
-        if any(router.host == local.host for router in high_capacity):
-            return HIGH_CAPACITY_LIMIT_SHARE / (len(high_capacity) + missing)
-        return (1.0 - HIGH_CAPACITY_LIMIT_SHARE) / low_capacity
+        is_carrying = any(router.host == local.host for router in carrying)
+        if is_carrying and self._selection.has_full_share(local.host, now_s):
+            return HIGH_CAPACITY_LIMIT_SHARE / (len(carrying) + missing)
+        return (1.0 - HIGH_CAPACITY_LIMIT_SHARE) / (others + is_carrying)
 
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Tell the peers whether this router reaches backend servers."""
@@ -152,6 +175,22 @@
             and self._region_by_zone.get(member.zone) == own
         ]
 
+    def routers_for_callers(self) -> list[RouterAddress]:
+        """Return the routers that callers are sent to, as few as serve the load."""
+        return self._for_callers or self.accepting_routers()
+
+    def update_selection(self, now_s: float) -> None:
+        """Select the routers that callers are sent to, by the present state of the members."""
+        self._for_callers = self._selection.select(usable_routers(self.accepting_routers()), now_s)
+
+    def selects_hosts(self) -> bool:
+        """Return whether this router's data centre has more hosts than callers may need."""
+        return self._selection.has_choice(self.membership.table.local_member.zone)
+
+    def announce_utilisation(self, utilisation: float) -> None:
+        """Tell the peers how much of this router's host is in use."""
+        self.membership.table.update_local_member(utilisation=utilisation)
+
     def accepting_routers(self) -> list[RouterAddress]:
         """Return the routers that accept new requests, including this one."""
         table = self.membership.table
@@ -167,4 +206,5 @@
         member.overloaded,
         member.capacity_cores,
         member.is_cut_off,
+        member.utilisation,
     )
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -23,6 +23,7 @@
 from fighinge.router.follower import Follower
 from fighinge.router.forwarding import Forwarder, forwarding_routes
 from fighinge.router.handover import Handover
+from fighinge.router.host_load import HostLoad, HostUse
 from fighinge.router.http_server import CallerServer
 from fighinge.router.listening import open_when_free
 from fighinge.router.metrics import ROUTERS, STORE_ERA, VERSION, VIEW_AGE
@@ -144,6 +145,7 @@
         start_wait_s = FLEET_START_READ_DELAY_S if settings.is_first_start else RESTART_READ_DELAY_S
         role = ReaderRole(self.view, self.peers, start_wait_s, steady_clock)
         self._overload = OverloadDetector()
+        self._host_load = HostLoad.from_settings(settings, steady_clock())
         self._peer_follower = PeerFollower.create(
             self.view,
             self.peers,
@@ -283,6 +285,7 @@
             now_s = steady_clock()
             self.view.expire(now_s)
             self._restart_stale(now_s)
+            self._update_load(now_s)
             self.pool.set_limit_share(
                 self.peers.limit_share(),
                 self.peers.known_hosts(),
@@ -296,6 +299,20 @@
             self.log.flush()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
 
+    def _update_load(self, now_s: float) -> None:
+        """Select the routers for callers, and tell the peers of this host's utilisation."""
+        self.peers.update_selection(now_s)
+        if not self._host_load.is_due(now_s):
+            return
+        use = HostUse(
+            time.process_time(),
+            self.calls.transferred_bytes + self.caller_server.sent_bytes,
+            self.calls.open_connections + self.caller_server.unanswered,
+        )
+        if self._host_load.record(use, now_s) and self.peers.selects_hosts():
+            self.log.write("host utilisation", utilisation=self._host_load.announced)
+            self.peers.announce_utilisation(self._host_load.announced)
+
     def _restart_stale(self, now_s: float) -> None:
         """Restart followers whose source or peer has missed changes that other peers have."""
         for topic in self._staleness.pop_stale(now_s):
