--- a/fighinge/platform/run.py
+++ b/fighinge/platform/run.py
@@ -16,6 +16,7 @@
 from fighinge.platform.settings import read_settings, settings_path
 from fighinge.platform.store import PlatformStore
 from fighinge.router.decision_log import DecisionLog
+from fighinge.router.idle_time import IdleTimeSelector
 from fighinge.router.process import Router, steady_clock
 from fighinge.router.settings import RouterSettings
 from fighinge.router.view import Topic
@@ -43,7 +44,9 @@
         print(f"{path}: ok")
         return
     logging.getLogger().setLevel(logging.CRITICAL)
-    asyncio.run(serve(settings, path))
+    selector = IdleTimeSelector()
+    with asyncio.Runner(loop_factory=partial(asyncio.SelectorEventLoop, selector)) as runner:
+        runner.run(serve(settings, path, selector))
 
 
 def _read_settings_at_start(path: Path, retries: int) -> RouterSettings | Failure:
@@ -57,10 +60,11 @@
     return settings
 
 
-async def serve(settings: RouterSettings, path: Path) -> None:
+async def serve(settings: RouterSettings, path: Path, selector: IdleTimeSelector) -> None:
     """Serve callers until the process receives SIGTERM.
 
     :param path: the settings file, which is read again after a change
+    :param selector: that of the event loop, which tells how busy this process is
     """
     log = DecisionLog(steady_clock, time.time)
     prefixes = {Topic.CONFIGURATION: OPERATOR_PREFIX, Topic.BACKENDS: SERVERS_PREFIX}
@@ -68,7 +72,14 @@
         topic: PlatformStore.from_address(settings.platform_address, prefix, settings.address)
         for topic, prefix in prefixes.items()
     }
-    process = Router(settings, PlatformCodec(), sources, log, partial(read_settings, path))
+    process = Router(
+        settings,
+        PlatformCodec(),
+        sources,
+        log,
+        partial(read_settings, path),
+        lambda: selector.idle_s,
+    )
     starting = asyncio.create_task(_start(process))
     stopping = asyncio.create_task(process.stop_request.wait())
     await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
--- a/fighinge/router/host_load.py
+++ b/fighinge/router/host_load.py
@@ -15,9 +15,12 @@
 
 
 class HostUse(msgspec.Struct, frozen=True):
-    """What a process has used of its host: totals since its start, and open descriptors."""
+    """What a process uses of its host: totals since its start, and open descriptors.
 
-    cpu_s: float
+    ``idle_s`` is the time in which its event loop has waited.
+    """
+
+    idle_s: float
     transferred_bytes: int
     descriptors: int
 
@@ -25,31 +28,21 @@
 class HostLoad:
     """Derives the utilisation of a host from samples of what this process uses."""
 
-    __slots__ = (
-        "_capacity_cores",
-        "_last",
-        "_link_bits_per_s",
-        "_max_descriptors",
-        "_sampled_s",
-        "announced",
-    )
+    __slots__ = ("_last", "_link_bits_per_s", "_max_descriptors", "_sampled_s", "announced")
 
     def __init__(
-        self, capacity_cores: float, link_bits_per_s: float, max_descriptors: int, now_s: float
+        self, link_bits_per_s: float, max_descriptors: int, use: HostUse, now_s: float
     ) -> None:
-        self._capacity_cores = capacity_cores
         self._link_bits_per_s = link_bits_per_s
         self._max_descriptors = max_descriptors
+        self._last = use
         self._sampled_s = now_s
-        self._last = HostUse(0.0, 0, 0)
         self.announced = 0.0
 
     @classmethod
-    def from_settings(cls, settings: RouterSettings, now_s: float) -> HostLoad:
+    def from_settings(cls, settings: RouterSettings, use: HostUse, now_s: float) -> HostLoad:
         """Return the load of a host that has the limits of the settings."""
-        return cls(
-            settings.capacity_cores, settings.link_bits_per_s, settings.max_descriptors, now_s
-        )
+        return cls(settings.link_bits_per_s, settings.max_descriptors, use, now_s)
 
     def is_due(self, now_s: float) -> bool:
         """Return whether a window has passed since the last sample."""
@@ -61,7 +54,8 @@
         last, self._last, self._sampled_s = self._last, use, now_s
         transferred_bits = 8 * (use.transferred_bytes - last.transferred_bytes)
         utilisation = max(
-            (use.cpu_s - last.cpu_s) / (elapsed_s * self._capacity_cores),
+            0.0,
+            1.0 - (use.idle_s - last.idle_s) / elapsed_s,
             transferred_bits / (elapsed_s * self._link_bits_per_s),
             use.descriptors / self._max_descriptors,
         )
--- a/fighinge/router/host_selection.py
+++ b/fighinge/router/host_selection.py
@@ -24,7 +24,7 @@
 ESTABLISHED_S = 2.0  # membership is complete within this time after a start
 LIMIT_MEMORY_S = 10.0  # what a host has spent of the retry budget counts for this time
 UTILISATION_STEPS = 4  # of an announced utilisation between 0 and 1
-MAX_UTILISATION = 4.0  # an overloaded host announces no more
+MAX_UTILISATION = 1.0
 SHARE_DELAY_S = 1.0  # by then, the other routers know that a host carries callers
 
 
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -88,8 +88,10 @@
         sources: Mapping[Topic, ViewSource],
         log: DecisionLog,
         read_settings: Callable[[], RouterSettings | Failure],
+        idle_s: Callable[[], float],
     ) -> None:
         self.settings = settings
+        self._idle_s = idle_s
         self._read_settings = read_settings
         self.log = log
         self._random = random.Random()
@@ -145,7 +147,7 @@
         start_wait_s = FLEET_START_READ_DELAY_S if settings.is_first_start else RESTART_READ_DELAY_S
         role = ReaderRole(self.view, self.peers, start_wait_s, steady_clock)
         self._overload = OverloadDetector()
-        self._host_load = HostLoad.from_settings(settings, steady_clock())
+        self._host_load = HostLoad.from_settings(settings, self._host_use(), steady_clock())
         self._peer_follower = PeerFollower.create(
             self.view,
             self.peers,
@@ -304,14 +306,16 @@
         self.peers.update_selection(now_s)
         if not self._host_load.is_due(now_s):
             return
-        use = HostUse(
-            time.process_time(),
+        if self._host_load.record(self._host_use(), now_s) and self.peers.selects_hosts():
+            self.log.write("host utilisation", utilisation=self._host_load.announced)
+            self.peers.announce_utilisation(self._host_load.announced)
+
+    def _host_use(self) -> HostUse:
+        return HostUse(
+            self._idle_s(),
             self.calls.transferred_bytes + self.caller_server.sent_bytes,
             self.calls.open_connections + self.caller_server.unanswered,
         )
-        if self._host_load.record(use, now_s) and self.peers.selects_hosts():
-            self.log.write("host utilisation", utilisation=self._host_load.announced)
-            self.peers.announce_utilisation(self._host_load.announced)
 
     def _restart_stale(self, now_s: float) -> None:
         """Restart followers whose source or peer has missed changes that other peers have."""
