Keep the shares within the limits while a host alone knows its state

Cause: review of the host selection. A host that was overloaded, cut off or leaving was forgotten by the selection, so that a surplus one counted itself among those that carry callers before the others knew: with two such hosts of 30 the shares summed to 1.156. An idle host announced a quarter (rounded up, and never lower again), so that 100 idle hosts were the load of 25. The load of overloaded hosts was not counted when their places were filled.

Places last as long as the member; below an eighth a host announces 0; the load of all members counts; the selection runs on changes, at most each 0.3 s, and answers leave out routers that have stopped serving since.

--- a/fighinge/router/host_selection.py
+++ b/fighinge/router/host_selection.py
@@ -14,7 +14,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from fighinge.router.addresses import RouterAddress
 
@@ -24,6 +24,9 @@
 ESTABLISHED_S = 2.0  # membership is complete within this time after a start
 LIMIT_MEMORY_S = 10.0  # what a host has spent of the retry budget counts for this time
 UTILISATION_STEPS = 4  # of an announced utilisation between 0 and 1
+IDLE_UTILISATION = 0.125  # below, a host is announced as idle: many idle ones are no load
+STILL_IDLE_UTILISATION = 0.0625  # hysteresis, so that the announcement does not alternate
+CORES_TOLERANCE = 1e-9  # of sums of capacities, by the rounding of their floats
 MAX_UTILISATION = 4.0  # an overloaded host announces no more
 SHARE_DELAY_S = 1.0  # by then, the other routers know that a host carries callers
 
@@ -58,12 +61,24 @@
         self._places: dict[str, _Place] = {}
         self._zones_with_choice: frozenset[str] = frozenset()
 
-    def select(self, usable: Iterable[RouterAddress], now_s: float) -> list[RouterAddress]:
+    def select(
+        self,
+        usable: Iterable[RouterAddress],
+        now_s: float,
+        members: Iterable[RouterAddress] = (),
+    ) -> list[RouterAddress]:
         """Return the routers that callers are sent to, of those that may serve them.
 
         :param usable: routers on high-capacity hosts that accept requests
         :param now_s: time on the monotonic clock, in seconds
+        :param members: all routers; the load of those that are not usable now moves to the others
         """
+        usable = list(usable)
+        members = {router.host: router for router in (*members, *usable)}
+        used_cores: dict[str, float] = {}
+        for router in members.values():
+            used = router.utilisation * router.capacity_cores
+            used_cores[router.zone] = used_cores.get(router.zone, 0.0) + used
         by_zone: dict[str, list[RouterAddress]] = {}
         for router in usable:
             by_zone.setdefault(router.zone, []).append(router)
@@ -73,11 +88,11 @@
         selected: list[RouterAddress] = []
         for zone, routers in by_zone.items():
             routers.sort(key=lambda router: (-router.capacity_cores, router.host))
-            count = self._count(zone, routers, now_s)
+            count = self._count(zone, routers, used_cores[zone], now_s)
             selected += routers[:count]
             for place, router in enumerate(routers):
                 self._record(router.host, is_selected=place < count, now_s=now_s)
-        self._forget({router.host for routers in by_zone.values() for router in routers}, now_s)
+        self._forget(members, now_s)
         return selected
 
     def has_choice(self, zone: str) -> bool:
@@ -100,9 +115,10 @@
             return True
         return place.is_selected and now_s >= place.full_share_s
 
-    def _count(self, zone: str, routers: list[RouterAddress], now_s: float) -> int:
+    def _count(
+        self, zone: str, routers: list[RouterAddress], used_cores: float, now_s: float
+    ) -> int:
         """Return how many hosts of a data centre carry callers."""
-        used_cores = sum(router.utilisation * router.capacity_cores for router in routers)
         least = min(self._min_hosts, len(routers))
         needed = max(least, _hosts_for(used_cores / TARGET_UTILISATION, routers))
         count = max(self._counts.get(zone, 0), needed)
@@ -125,8 +141,12 @@
             place.is_selected, place.since_s = is_selected, now_s
             place.full_share_s = now_s + SHARE_DELAY_S
 
-    def _forget(self, present: set[str], now_s: float) -> None:
-        """Forget hosts that are gone; one that returns counts in full at once."""
+    def _forget(self, present: Collection[str], now_s: float) -> None:
+        """Forget hosts that are gone; one that returns counts in full at once.
+
+        One that is only overloaded, suspected, leaving or cut off keeps its part in the limits: it
+        knows of that before the others do.
+        """
         self._places = {
             host: place
             for host, place in self._places.items()
@@ -137,7 +157,7 @@
 def _hosts_for(cores: float, routers: list[RouterAddress]) -> int:
     """Return how many of the routers, in their order, have a capacity of so many cores."""
     for count, router in enumerate(routers):
-        if cores <= 0:
+        if cores <= CORES_TOLERANCE:
             return count
         cores -= router.capacity_cores
     return len(routers)
@@ -146,11 +166,14 @@
 def announced_utilisation(utilisation: float, announced: float) -> float:
     """Return the utilisation to announce, in steps of a quarter.
 
-    It is rounded up, and falls only when it is well below the step, so that it seldom changes.
+    It is rounded up unless the host is idle, and falls only when it is well below the step, so that
+    it seldom changes.
 
     :param utilisation: present use of the scarcest resource of a host
     :param announced: what was announced last
     """
+    if utilisation < (IDLE_UTILISATION if announced == 0 else STILL_IDLE_UTILISATION):
+        return 0.0
     step = math.ceil(min(utilisation, MAX_UTILISATION) * UTILISATION_STEPS) / UTILISATION_STEPS
     is_well_below = utilisation < announced - 1.5 / UTILISATION_STEPS
     return step if step > announced or is_well_below else announced
--- a/fighinge/router/peers.py
+++ b/fighinge/router/peers.py
@@ -27,6 +27,8 @@
     from fighinge.router.staleness import StalenessDetector
 
 HIGH_CAPACITY_LIMIT_SHARE = 0.85  # callers with cached addresses still use low-capacity hosts
+MIN_SELECTION_INTERVAL_S = 0.3  # a selection among 460 members takes 0.8 ms
+MAX_SELECTION_INTERVAL_S = 1.0  # for what depends on the time, without changes of members
 
 
 class Peers:
@@ -37,6 +39,8 @@
         "_for_callers",
         "_region_by_zone",
         "_seeds",
+        "_selected_changes",
+        "_selected_s",
         "_selection",
         "board",
         "membership",
@@ -53,6 +57,8 @@
         self._seeds = set(settings.seeds)
         self._clock = clock
         self._for_callers: list[RouterAddress] = []
+        self._selected_s = float("-inf")
+        self._selected_changes = -1
         self._selection = HostSelection(settings.tolerated_host_losses)
         self._region_by_zone = settings.region_by_zone
         self.board = FactBoard()
@@ -177,11 +183,27 @@
 
     def routers_for_callers(self) -> list[RouterAddress]:
         """Return the routers that callers are sent to, as few as serve the load."""
-        return self._for_callers or self.accepting_routers()
+        table = self.membership.table
+        serving = {
+            member.host
+            for member in (table.local_member, *table.reachable())
+            if member.state is MemberState.ALIVE and not (member.leaving or member.is_cut_off)
+        }
+        selected = [router for router in self._for_callers if router.host in serving]
+        return selected or self.accepting_routers()
 
     def update_selection(self, now_s: float) -> None:
-        """Select the routers that callers are sent to, by the present state of the members."""
-        self._for_callers = self._selection.select(usable_routers(self.accepting_routers()), now_s)
+        """Select the routers that callers are sent to, if the members may have changed."""
+        table = self.membership.table
+        elapsed_s = now_s - self._selected_s
+        if elapsed_s < MIN_SELECTION_INTERVAL_S:
+            return
+        if table.change_count == self._selected_changes and elapsed_s < MAX_SELECTION_INTERVAL_S:
+            return
+        self._selected_s, self._selected_changes = now_s, table.change_count
+        accepting = self.accepting_routers()
+        members = [_address(member) for member in table.members()]
+        self._for_callers = self._selection.select(usable_routers(accepting), now_s, members)
 
     def selects_hosts(self) -> bool:
         """Return whether this router's data centre has more hosts than callers may need."""
--- a/tests/router/test_host_selection.py
+++ b/tests/router/test_host_selection.py
@@ -175,3 +175,46 @@
     assert load.is_due(1.0)
     assert load.record(use, 1.0)
     assert load.announced == announced
+
+
+def test_idle_hosts_are_no_load():
+    """Guards against many idle hosts, each rounded up to a quarter, that keep others selected."""
+    assert announced_utilisation(0.03, 0.0) == 0.0
+    assert announced_utilisation(0.12, 0.0) == 0.0
+    assert announced_utilisation(0.13, 0.0) == 0.25
+    assert announced_utilisation(0.07, 0.25) == 0.25
+    assert announced_utilisation(0.05, 0.25) == 0.0
+
+
+def test_load_of_overloaded_hosts_is_served_by_more_hosts():
+    """Guards against a few hosts after another that each collapse under the same load."""
+    hosts = _hosts(utilisation=0.0)
+    loaded = [msgspec.structs.replace(host, utilisation=1.0) for host in hosts[:3]]
+    selected = HostSelection(2).select(hosts[3:], 0.0, [*loaded, *hosts[3:]])
+    assert len(selected) == 7
+
+
+@pytest.mark.parametrize("state", [{"overloaded": True}, {"is_cut_off": True}, {"leaving": True}])
+def test_shares_stay_within_the_limits_while_only_the_host_knows_its_state(state):
+    """Guards against a surplus host that counts itself as one that carries callers."""
+    hosts = [host for zone in ZONES for host in _hosts(zone)]
+    now_s = [0.0]
+    fleet = {own.host: _peers(own, hosts, now_s) for own in hosts}
+    for tick in range(40):
+        now_s[0] = tick / 2
+        if tick == 30:
+            fleet["z1-09"].membership.table.update_local_member(**state)
+            fleet["z2-08"].membership.table.update_local_member(**state)
+        for peers in fleet.values():
+            peers.update_selection(now_s[0])
+        assert sum(peers.limit_share() for peers in fleet.values()) <= 1.0 + 1e-9
+
+
+def test_router_that_leaves_is_not_named_before_the_next_selection():
+    """Guards a planned stop, in which callers have to stop using an address in time."""
+    hosts = _hosts()
+    peers = _peers(hosts[0], hosts, [0.0])
+    peers.update_selection(0.0)
+    assert _names(peers.routers_for_callers()) == ["z1-00", "z1-01", "z1-02"]
+    peers.membership.table.update_local_member(leaving=True)
+    assert _names(peers.routers_for_callers()) == ["z1-01", "z1-02"]
