Tell where load management applies

Change: LoadPolicy, held by the pool, follows the active routing table (a route or an account of priority 0) and statements of slowness by backend servers. A change writes one log line. Nothing uses the policy yet.

--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -6,6 +6,7 @@
 
 from fighinge.router.backend import Backend
 from fighinge.router.cold_limit import cold_quota
+from fighinge.router.load_policy import LoadPolicy
 from fighinge.router.rate_share import RouterShare
 from fighinge.router.retry_budget import RetryBudget, RetryBudgetLimits
 from fighinge.router.urgency import Urgency
@@ -63,6 +64,7 @@
         "_unlisted",
         "_view",
         "_zone",
+        "load_policy",
     )
 
     def __init__(
@@ -74,6 +76,7 @@
         random_source: random.Random,
     ) -> None:
         self._view = view
+        self.load_policy = LoadPolicy(view.log)
         self._own_address = own_address.host
         self._zone = own_address.zone
         self._budget_limits = budget_limits
@@ -146,6 +149,7 @@
 
     def refresh(self, now_s: float) -> None:
         """Rebuild the lists of backend servers from the view."""
+        self.load_policy.update(self._view.table)
         current: dict[tuple[str, int], Backend] = {}
         known = {backend.record.instance_id: backend for backend in self._backends.values()}
         for service in self._services.values():
