Explain each hedge that was due and not sent

Change: hedging moves from service_call.py to hedging.py. A hedge that is due and not sent has a reason (budget, no server, no time, too many at once, quarantine, probe): in the trace of the request and in fighinge_hedges_not_sent, once for each reason, request and service. Quarantine and probe last, so that the hedge is not considered again; after the others it is considered again every 5 ms, as before.

--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -13,7 +13,7 @@
 from fighinge.router.crash_suspects import request_fingerprint
 from fighinge.router.ended_tasks import EndedTasks
 from fighinge.router.exchange import BackendResponse
-from fighinge.router.hedge_delay import hedge_delay_s
+from fighinge.router.hedging import Hedging, UnsentReason
 from fighinge.router.limited_calls import CallKind
 from fighinge.router.reached_servers import ReachedServers
 
@@ -70,10 +70,10 @@
         "_failed_response",
         "_fingerprint",
         "_has_lost",
+        "_hedging",
         "_in_flight",
         "_is_probe",
         "_limits",
-        "_may_hedge",
         "_pool",
         "_reached",
         "_request",
@@ -110,7 +110,7 @@
         self._pool = pool
         self._call_runner = call_runner
         self._clock = clock
-        self._may_hedge = may_hedge
+        self._hedging = Hedging(limits, service, pool, call_runner.typical_latencies, may_hedge)
         self._try_exclude = try_exclude
         self._is_probe = is_probe
         self._tried: list[Backend] = []
@@ -299,26 +299,21 @@
         limits = self._limits
         if not limits.is_idempotent or self._reached.total_calls >= self._max_calls:
             return limits.hard_deadline_s
-        typical_s = self._call_runner.typical_latencies.typical_s(limits.latency_key)
-        due_s = self._started_s + hedge_delay_s(typical_s, limits.soft_deadline_s - self._started_s)
-        return max(due_s, now_s + BUSY_POLL_S)
+        return self._hedging.due_s(self._started_s, now_s)
 
     def _hedge(self, pending: dict[asyncio.Task, Backend], now_s: float) -> None:
-        """Start a hedge if the budget allows it and its answer may arrive in time."""
-        budget = self.service.retry_budget
-        if not self._may_hedge() or not budget.can_hedge(self._pool.limit_share, now_s):
-            return
-        if self._is_probe or self._is_quarantined(now_s):
-            return
-        typical_s = self._call_runner.typical_latencies.typical_s(self._limits.latency_key)
-        backend = self._choose(typical_s, now_s, is_urgent=False)
-        if backend is None:
-            return
-        if now_s + backend.expected_s(typical_s, now_s) >= self._limits.hard_deadline_s:
-            return
-        if budget.acquire_hedge(self._pool.limit_share, now_s):
+        """Start a hedge, or record why it is not sent."""
+        hedge = self._hedging.acquire(
+            lambda typical_s: self._choose(typical_s, now_s, is_urgent=False),
+            now_s,
+            is_probe=self._is_probe,
+            is_quarantined=self._is_quarantined(now_s),
+        )
+        if not isinstance(hedge, UnsentReason):
             self._add_trace("hedge")
-            self._start_call(backend, pending, now_s, CallKind.HEDGE)
+            self._start_call(hedge, pending, now_s, CallKind.HEDGE)
+        elif self._hedging.record_unsent(hedge):
+            self._add_trace(f"hedge not sent: {hedge.value}")
 
     def _handle_result(self, result: CallResult, backend: Backend) -> bool:
         """Record the result of a call and return whether it is the result of the request."""
