--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import heapq
+from typing import TYPE_CHECKING
+
 from prometheus_client import Counter, Gauge, Histogram
 
 from fighinge.metrics import LATENCY_BUCKETS_S
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fighinge.router.model import ClientAccount
+
 LATENCY = Histogram(
     "fighinge_request_latency_seconds",
     "Time from the arrival of a request to its answer",
@@ -33,6 +41,13 @@
     "Time since the source of a topic, or the peer followed instead, last answered",
     ("topic",),
 )
+QUOTA_REQUESTS = Counter(
+    "fighinge_quota_requests", "Requests of accounts with a quota", ("account", "outcome")
+)
+QUOTA_TIMEOUTS = Counter(
+    "fighinge_quota_owner_timeouts", "Requests for quota grants that the owner has not answered"
+)
+MAX_ACCOUNT_LABELS = 50  # bounds the label cardinality; there may be thousands of accounts
 MAX_ROUTE_LABELS = 64  # bounds the label cardinality; there may be hundreds of routes
 
 _routes: set[str] = set()
@@ -51,3 +66,29 @@
 def observe_statement(kind: str) -> None:
     """Count a statement of a backend server about itself, by its kind."""
     STATEMENTS.labels(kind).inc()
+
+
+class QuotaMetrics:
+    """Counts requests by account; only the accounts with the largest quotas have own labels.
+
+    An account that once had a label keeps it, so that a label never counts less than before.
+    """
+
+    __slots__ = ("_labels",)
+
+    def __init__(self) -> None:
+        self._labels: set[str] = set()
+
+    def set_accounts(self, accounts: Iterable[ClientAccount]) -> None:
+        """Give labels that are left to the accounts with the largest quotas."""
+        largest = heapq.nlargest(
+            MAX_ACCOUNT_LABELS, accounts, key=lambda account: account.rate_per_s
+        )
+        for account in largest:
+            if len(self._labels) < MAX_ACCOUNT_LABELS:
+                self._labels.add(account.name)
+
+    def observe(self, account: str, *, is_admitted: bool) -> None:
+        """Count a request."""
+        label = account if account in self._labels else "other"
+        QUOTA_REQUESTS.labels(label, "admitted" if is_admitted else "refused").inc()
