Hold client accounts to their quotas in the router process

Cause: the gate over all routers was not in use, and no test of processes covered client accounts.

Change: the router process gives the gate the accounts of the active configuration and the routers that may own quotas. The stand-in backend server records the headers that it gets; the test fleet takes accounts, keys and settings.

--- a/fighinge/router/peers.py
+++ b/fighinge/router/peers.py
@@ -18,6 +18,7 @@
     usable_routers,
 )
 from fighinge.router.host_selection import HostSelection
+from fighinge.router.quota_owners import RouterSet
 
 if TYPE_CHECKING:
     import random
@@ -35,6 +36,8 @@
     __slots__ = (
         "_clock",
         "_for_callers",
+        "_quota_change_count",
+        "_quota_hosts",
         "_region_by_zone",
         "_seeds",
         "_selection",
@@ -53,6 +56,8 @@
         self._seeds = set(settings.seeds)
         self._clock = clock
         self._for_callers: list[RouterAddress] = []
+        self._quota_change_count = -1
+        self._quota_hosts: tuple[frozenset[str], int] = (frozenset(), 0)
         self._selection = HostSelection(settings.tolerated_host_losses)
         self._region_by_zone = settings.region_by_zone
         self.board = FactBoard()
@@ -117,6 +122,23 @@
             return HIGH_CAPACITY_LIMIT_SHARE / (len(carrying) + missing)
         return (1.0 - HIGH_CAPACITY_LIMIT_SHARE) / (others + is_carrying)
 
+    def quota_routers(self, limit_share: float) -> RouterSet:
+        """Return the routers that may own quotas: those on high-capacity hosts.
+
+        Suspected ones do not, as an owner that does not answer costs callers more than a change.
+        Recently failed ones are known for a while, as they may only be partitioned.
+        """
+        table = self.membership.table
+        if self._quota_change_count != table.change_count:
+            self._quota_change_count = table.change_count
+            members = [member for member in table.members() if not member.leaving]
+            hosts = {router.host for router in high_capacity_routers(map(_address, members))}
+            alive = {member.host for member in members if member.state is MemberState.ALIVE}
+            self._quota_hosts = (frozenset(alive & hosts), len(hosts))
+        alive_hosts, known_count = self._quota_hosts
+        missing = max(0, len(self._seeds) + 1 - len(table.members()))
+        return RouterSet(alive_hosts, known_count + missing, limit_share)
+
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Tell the peers whether this router reaches backend servers."""
         self.membership.table.update_local_member(is_cut_off=is_cut_off)
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -31,11 +31,14 @@
 from fighinge.router.peer_follower import PeerFollower, ReaderRole
 from fighinge.router.peers import Peers
 from fighinge.router.pool import BackendPool
+from fighinge.router.quota import QuotaBounds
+from fighinge.router.quota_owners import QuotaOwners
 from fighinge.router.reachability import Reachability
 from fighinge.router.relay import Relay, relay_routes
 from fighinge.router.retry_budget import RetryBudgetLimits
 from fighinge.router.revisions import era_of
 from fighinge.router.service import RouterService
+from fighinge.router.shared_quota import SharedQuota
 from fighinge.router.staleness import StalenessDetector
 from fighinge.router.typical_latency import TypicalLatencies
 from fighinge.router.view import Topic, View
@@ -127,6 +130,14 @@
         self._reachability.listen(self.peers.set_cut_off)
         self._forwarder = Forwarder.from_settings(settings, self.peers, steady_clock, self._random)
         handover = Handover(self._reachability, self._forwarder, self.pool, log, steady_clock)
+        self._quota = SharedQuota(
+            QuotaBounds(settings.quota_window_s, settings.quota_overage, settings.quota_slack),
+            settings.address,
+            QuotaOwners(settings.address, settings.quota_window_s, steady_clock()),
+            self.channel,
+            log,
+            steady_clock,
+        )
         self.service = RouterService(
             self.view,
             self.pool,
@@ -135,6 +146,7 @@
             codec,
             log,
             steady_clock,
+            self._quota,
             uses_accounts=settings.uses_accounts,
         )
         self.caller_server = CallerServer(self.service, codec, steady_clock)
@@ -286,8 +298,10 @@
             self.view.expire(now_s)
             self._restart_stale(now_s)
             self._update_load(now_s)
+            limit_share = self.peers.limit_share()
+            self._quota.update(self.peers.quota_routers(limit_share), now_s)
             self.pool.set_limit_share(
-                self.peers.limit_share(),
+                limit_share,
                 self.peers.known_hosts(),
                 now_s,
                 self.peers.limit_share(of_reaching=True),
@@ -337,6 +351,7 @@
         )
         if self.view.table is not None:
             self.caller_server.set_limits(self.view.table.limits)
+            self._quota.set_accounts(self.view.table.accounts or (), now_s)
             VERSION.set(self.view.version)
 
     def _observe_lag(self, lag_s: float) -> None:
@@ -355,6 +370,7 @@
     def _handle_pause(self, now_s: float) -> None:
         self.log.write("process was paused", version=self.view.version)
         self.peers.membership.handle_pause(now_s)
+        self._quota.handle_pause(now_s)
 
     def _handle_task_end(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
--- a/standins/shard_server.py
+++ b/standins/shard_server.py
@@ -26,6 +26,7 @@
     target: str
     body: bytes
     at_s: float
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class ShardServer(httputil.HTTPServerConnectionDelegate):
@@ -167,7 +168,7 @@
         finally:
             self._queued -= 1
         try:
-            self._record_run(request_id, start_line, body)
+            self._record_run(request_id, start_line, headers, body)
             if start_line.path in self.events.crash_targets:
                 await asyncio.sleep(self.events.crash_delay_s)
                 return self.crash(start_line.path)
@@ -191,7 +192,7 @@
         is_cut = bool(has_fault) and self.fault == "cut"
         return self._write(connection, 200, headers, records(self.service), is_cut=is_cut)
 
-    def _record_run(self, request_id: str, start_line, body: bytes) -> None:
+    def _record_run(self, request_id: str, start_line, headers, body: bytes) -> None:
         now_s = asyncio.get_running_loop().time()
         self.running[request_id] += 1
         run = Run(
@@ -202,6 +203,7 @@
             start_line.path,
             body,
             now_s,
+            tuple(headers.get_all()),
         )
         self._runs.append(run)
 
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -49,6 +49,8 @@
 
     :param shards: number of shards, each a service with a server in each data centre
     :param has_single: whether a service that is no shard has servers as well
+    :param accounts: records of client accounts; without any, callers need no key
+    :param changed_settings: settings of all routers that differ from the usual ones
     """
 
     def __init__(
@@ -59,8 +61,12 @@
         *,
         shards: int = SHARDS,
         has_single: bool = True,
+        accounts: list[dict] | None = None,
+        changed_settings: dict | None = None,
     ) -> None:
         self.directory = directory
+        self._accounts = accounts
+        self._changed_settings = changed_settings or {}
         self.network = network
         self.runs: list[Run] = []
         self.events = ServerEvents(self.list_server)
@@ -131,6 +137,9 @@
         ]
         services = [{"name": name, "max-conns": 36} for name in [*self._shards, "single"]]
         config = {"version": self.version, "routes": routes, "services": services, "limits": {}}
+        accounts = changes.get("accounts", self._accounts)
+        if accounts is not None:
+            config["tenants"] = accounts
         await self.store.put("op/config", config)
         return self.version
 
@@ -142,7 +151,7 @@
         address = self.address(number)
         seeds = [self.address(seed) for seed in range(3)]
         platform = f"127.{self.network}.9.1:8229"
-        settings = router_settings(address, number, platform, seeds)
+        settings = router_settings(address, number, platform, seeds) | self._changed_settings
         path = self.directory / f"node-{number}.json"
         if writes_settings:
             path.write_bytes(msgspec.json.encode(settings))
@@ -208,9 +217,18 @@
             connection.close()
 
     def request(
-        self, path: str, *, method: str = "GET", body: bytes = b"", caller_timeout_ms: int = 2000
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        body: bytes = b"",
+        caller_timeout_ms: int = 2000,
+        key: str = "",
     ):
-        """Return the identifier and the encoded form of a new request."""
+        """Return the identifier and the encoded form of a new request.
+
+        :param key: a key of the caller's client account, if it has one
+        """
         request_id = f"r{next(self._ids):06}"
         head = [
             f"{method} {path} HTTP/1.1",
@@ -218,6 +236,7 @@
             f"X-Request-Id: {request_id}",
             f"X-Deadline-Ms: {caller_timeout_ms}",
             f"Content-Length: {len(body)}",
+            *([f"Authorization: Token {key}"] if key else []),
         ]
         return request_id, "\r\n".join([*head, "", ""]).encode() + body
 
