Find the pause of a quota owner before it grants again

Cause: messages that arrived during a pause are read before the pause detector ticks, and the bucket is full by then.

Change: the gate compares the time with that of its last update itself; the router process no longer tells it.

--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -370,7 +370,6 @@
     def _handle_pause(self, now_s: float) -> None:
         self.log.write("process was paused", version=self.view.version)
         self.peers.membership.handle_pause(now_s)
-        self._quota.handle_pause(now_s)
 
     def _handle_task_end(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
--- a/fighinge/router/shared_quota.py
+++ b/fighinge/router/shared_quota.py
@@ -28,6 +28,7 @@
 TIMEOUT_S = 0.025  # a caller waits no longer for an owner
 SILENCE_S = 0.1  # how often an owner that does not answer is asked again, without waiting for it
 IDLE_S = 10.0  # twice the window; the state of an account without requests is then of no use
+PAUSE_S = 1.0  # ten times the interval of updates; peers suspect a router after about this time
 MIN_LOG_INTERVAL_S = 0.1  # between refusals of an account; each request has its own line as well
 
 
@@ -108,6 +109,7 @@
         "_share",
         "_silent",
         "_states",
+        "_updated_s",
     )
 
     def __init__(
@@ -135,6 +137,7 @@
         self._buckets: dict[str, _OwnedBucket] = {}
         self._silent: dict[str, float] = {}
         self._share = 0.0
+        self._updated_s = clock()
         channel.handle(QuotaRequest, self._handle_request)
         channel.handle(QuotaGrant, self._handle_grant)
 
@@ -156,6 +159,7 @@
 
     def update(self, routers: RouterSet, now_s: float) -> None:
         """Apply the present routers, and forget accounts without requests."""
+        self._detect_pause(now_s)
         self._share = routers.limit_share
         if self._owners.update(routers, now_s):
             self._apply_owners(now_s)
@@ -168,10 +172,12 @@
             name: owned for name, owned in self._buckets.items() if now_s - owned.used_s < IDLE_S
         }
 
-    def handle_pause(self, now_s: float) -> None:
+    def _detect_pause(self, now_s: float) -> None:
         """Start anew after a pause, in which other routers may have owned the accounts."""
-        self._owners.record_pause(now_s)
-        self._buckets.clear()
+        if now_s - self._updated_s > PAUSE_S:
+            self._owners.record_pause(now_s)
+            self._buckets.clear()
+        self._updated_s = now_s
 
     async def acquire(
         self, account: ClientAccount, request: CallerRequest, now_s: float
@@ -315,6 +321,7 @@
 
     def _decide(self, name: str, wanted: int, ahead: int, now_s: float) -> Decision:
         """Take grants from the bucket of an account that this router owns."""
+        self._detect_pause(now_s)
         limits = self._owned_limits(name, now_s)
         owned = self._buckets.get(name)
         if owned is None:
--- a/tests/router/test_quota.py
+++ b/tests/router/test_quota.py
@@ -244,7 +244,6 @@
         await asyncio.sleep(4.0)
         fleet.network.silent.clear()
         fleet.routers[owner] = paused
-        paused.gate.handle_pause(fleet.now_s)
         await load
 
     fleet = _play(work, DESK)
