Tell the routers that carry callers what others observe of servers

Change: where load management is on, a router sends its own observations of slow, failing and unreachable servers and of their return to the routers that carry callers, over PeerChannel: a change within 100 ms and twice more 100 ms apart, then each 300 ms as long as it lasts, at most 10 KB in any second. Receivers weigh a report like an own observation of its age; own fresher ones go first. Failures reported by one other data centre count only if a second one reports them. A server in doubt is called only without another usable one; one router at a time opens a connection to it, and may then call it. The moving averages of a server move from backend.py to observed_health.py, where own and heard are separate.

--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,19 +12,16 @@
 from fighinge.router.limited_calls import CallKind
 from fighinge.router.metrics import observe_statement
 from fighinge.router.named_limit import NamedLimit
+from fighinge.router.observed_health import ObservedHealth
+from fighinge.router.server_reports import SLOW_END_RATIO, SLOW_RATIO
 
 if TYPE_CHECKING:
     from fighinge.router.decision_log import DecisionLog
     from fighinge.router.exchange import ServerStatement
     from fighinge.router.model import BackendRecord
     from fighinge.router.rate_share import RouterShare
+    from fighinge.router.server_reports import Condition, HeardReport
 
-SLOWNESS_EWMA_WEIGHT = 0.3  # three calls distinguish a slow phase from one pause
-MAX_SLOWNESS = 30.0  # above any slow phase; bounds the time until it has decayed
-SLOWNESS_DECAY_S = 2.0  # slow phases last some seconds; then the server is tried again
-FAILURE_EWMA_WEIGHT = 0.25  # four consecutive failures make a server the last choice
-FAILURE_DECAY_S = 2.0  # as for SLOWNESS_DECAY_S
-MAX_FAILURE_RATE = 0.95  # keeps the expected latency finite if every call fails
 LOAD_REPORT_TTL_S = 0.25  # a reported load describes only the moment of the response
 MIN_DOWN_BACKOFF_S = 0.4  # a process restarts within about a second
 MAX_DOWN_BACKOFF_S = 2.0  # nothing announces the end of an outage of seconds; calls have to test it
@@ -37,8 +33,6 @@
 MAX_RECORD_DELAY_S = 10.0  # within this time, a run may answer before its record is known
 ADOPTED_LEAVING_S = 30.0  # a server that leaves has ended by then; others are used again
 TIMEOUTS_TO_DOWN = 2  # one may be a pause; two in a row mean that the server is gone
-SLOW_RATIO = 3.0  # slowness at which a server is logged as slow
-SLOW_END_RATIO = 1.5  # hysteresis, so that the log does not alternate
 COLD_FACTOR = 1.6  # calls to a cold server take about this much longer
 
 
@@ -58,8 +52,7 @@
         "_consecutive_timeouts",
         "_down_backoff_s",
         "_down_until_s",
-        "_failure_rate",
-        "_failure_rate_updated_s",
+        "_health",
         "_is_slow",
         "_last_call_number",
         "_leaving_said_s",
@@ -70,14 +63,13 @@
         "_reported_load",
         "_restored_s",
         "_shed_until_s",
-        "_slowness",
-        "_slowness_updated_s",
         "_unreachable_s",
         "cold_quota",
         "connection_quota",
         "is_leaving",
         "limit",
         "record",
+        "troubled",
     )
 
     def __init__(
@@ -97,10 +89,8 @@
         self._cold_calls = ColdCallWindow()
         self._calls: dict[int, _Call] = {}
         self._last_call_number = 0
-        self._slowness = 1.0
-        self._slowness_updated_s = now_s
-        self._failure_rate = 0.0
-        self._failure_rate_updated_s = now_s
+        self._health = ObservedHealth()
+        self.troubled: set[Backend] = set()  # shared by the servers that this router calls
         self._reported_load = 0
         self._load_reported_s = float("-inf")
         self._down_until_s = float("-inf")
@@ -226,17 +216,23 @@
 
     def slowness(self, now_s: float) -> float:
         """Return the ratio of this server's latency to the typical one."""
-        if self._slowness == 1.0:
-            return 1.0
-        idle_s = now_s - self._slowness_updated_s
-        return 1.0 + (self._slowness - 1.0) * math.exp(-idle_s / SLOWNESS_DECAY_S)
+        return self._health.slowness(now_s)
 
     def failure_rate(self, now_s: float) -> float:
         """Return the fraction of recent calls that gave no usable answer."""
-        if not self._failure_rate:
-            return 0.0
-        idle_s = now_s - self._failure_rate_updated_s
-        return min(MAX_FAILURE_RATE, self._failure_rate * math.exp(-idle_s / FAILURE_DECAY_S))
+        return self._health.failure_rate(now_s)
+
+    def hear(self, report: HeardReport, now_s: float) -> None:
+        """Take in what another router has observed of this run of the server."""
+        self._health.hear(report, now_s)
+
+    def is_in_doubt(self, now_s: float) -> bool:
+        """Return whether the server may be unreachable, by own calls or reports of others."""
+        return self._health.is_in_doubt(now_s, is_unproven=self.is_unproven)
+
+    def condition(self, now_s: float) -> Condition:
+        """Return what this router has itself observed, for other routers."""
+        return self._health.condition(self.record, now_s, is_unproven=self.is_unproven)
 
     def start_call(self, typical_s: float, now_s: float, kind: CallKind = CallKind.FIRST) -> int:
         """Record the start of a call and return its number."""
@@ -251,7 +247,7 @@
         """Record the end of a call that was cancelled before its result."""
         call = self._calls.pop(call_number)
         ratio = (now_s - call.started_s) / call.typical_s
-        if ratio > self.slowness(now_s):
+        if ratio > self._health.own_slowness(now_s):
             self._observe_slowness(ratio, now_s)
 
     def abandon_call(self, call_number: int) -> None:
@@ -267,7 +263,9 @@
         if isinstance(result, CallFailure):
             self._record_failure(result, took_s, call.typical_s, now_s)
             return
-        if self._down_backoff_s > MIN_DOWN_BACKOFF_S:
+        if self._health.record_answer(now_s, was_unproven=self.is_unproven):
+            self.troubled.add(self)
+        if self.is_unproven:
             self._log_state("up", "a call was answered", now_s)
         self._down_backoff_s = MIN_DOWN_BACKOFF_S
         self._down_until_s = float("-inf")
@@ -324,7 +322,7 @@
         self._down_until_s = float("-inf")
         self._down_backoff_s = MIN_DOWN_BACKOFF_S
         self._consecutive_timeouts = 0
-        self._failure_rate = 0.0
+        self._health.forget_failures()
 
     def _record_failure(
         self, failure: CallFailure, took_s: float, typical_s: float, now_s: float
@@ -345,16 +343,18 @@
         if now_s < self._down_until_s:
             return
         self._log_state("down", cause, now_s)
+        self._health.record_unreachable(now_s)
+        self.troubled.add(self)
         self._down_until_s = now_s + self._down_backoff_s
         self._down_backoff_s = min(MAX_DOWN_BACKOFF_S, 2 * self._down_backoff_s)
 
     def _observe_slowness(self, ratio: float, now_s: float) -> None:
-        previous = self.slowness(now_s)
-        self._slowness = previous + SLOWNESS_EWMA_WEIGHT * (min(ratio, MAX_SLOWNESS) - previous)
-        self._slowness_updated_s = now_s
-        if self._is_slow != (self._slowness >= (SLOW_END_RATIO if self._is_slow else SLOW_RATIO)):
+        slowness = self._health.observe_slowness(ratio, now_s)
+        if self._is_slow != (slowness >= (SLOW_END_RATIO if self._is_slow else SLOW_RATIO)):
             self._is_slow = not self._is_slow
             self._log_state("slow" if self._is_slow else "normal", "call latency", now_s)
+        if self._is_slow:
+            self.troubled.add(self)
 
     def _log_state(self, state: str, cause: str, now_s: float) -> None:
         self._log.write(
@@ -369,9 +369,9 @@
         )
 
     def _observe_failure(self, is_failure: bool, now_s: float) -> None:
-        previous = self.failure_rate(now_s)
-        self._failure_rate = previous + FAILURE_EWMA_WEIGHT * (is_failure - previous)
-        self._failure_rate_updated_s = now_s
+        self._health.observe_failure(is_failure, now_s)
+        if is_failure:
+            self.troubled.add(self)
 
     def _current_reported_load(self, now_s: float) -> int:
         return self._reported_load if now_s - self._load_reported_s < LOAD_REPORT_TTL_S else 0
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -30,6 +30,11 @@
     "Hedges that were due and not sent, each reason once for a request and service",
     ("reason",),
 )
+SERVER_REPORTS = Counter(
+    "fighinge_server_reports",
+    "Reports of backend servers between routers, and probes of servers in doubt",
+    ("kind",),
+)
 CUT_OFF = Gauge("fighinge_cut_off", "Whether this router reaches no backend server")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 STORE_ERA = Gauge("fighinge_store_era", "How often the store has come back from an older copy")
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -61,9 +61,12 @@
         "_run_at",
         "_services",
         "_share",
+        "_troubled",
         "_unlisted",
         "_view",
         "_zone",
+        "doubtful",
+        "is_excluded",
         "load_policy",
     )
 
@@ -86,6 +89,9 @@
         self._services: dict[str, Service] = {}
         self._backends: dict[tuple[str, int], Backend] = {}
         self._unlisted: dict[tuple[str, int], Backend] = {}
+        self._troubled: set[Backend] = set()
+        self.doubtful: set[Backend] = set()  # set by the exchange of reports, like the next one
+        self.is_excluded: Callable[[Backend, float], bool] = _is_never_excluded
         self._run_at: dict[Address, BackendRecord] = {}
         self._replaced_listeners: list[Callable[[str, float], object]] = []
         view.add_listener(self.refresh)
@@ -135,6 +141,21 @@
         """Return the services that are known or were asked for."""
         return self._services.values()
 
+    def pop_troubled(self) -> set[Backend]:
+        """Return the servers of which calls were slow or failed since the last time."""
+        troubled = self._troubled.copy()
+        self._troubled.clear()
+        return troubled
+
+    def find_run(self, instance_id: str, started_ms: int) -> Backend | None:
+        """Return a listed run of a server."""
+        return self._backends.get((instance_id, started_ms))
+
+    def is_listed(self, backend: Backend) -> bool:
+        """Return whether a run of a server is listed."""
+        record = backend.record
+        return self.find_run(record.instance_id, record.started_ms) is backend
+
     def record_leaving(self, run_names: Collection[str]) -> None:
         """Record that runs of servers have said, in answers to a peer, that they leave."""
         if run_names:
@@ -184,6 +205,7 @@
         is_known = backend is not None
         if backend is None:
             backend = Backend(record, self._view.log, self._share, now_s)
+            backend.troubled = self._troubled
             self._record_run(record, now_s)
         if previous is not None:
             if is_known or record.started_ms < previous.record.started_ms:
@@ -223,6 +245,12 @@
         usable = [
             backend for backend in candidates if backend.is_usable(now_s, is_urgent=is_urgent)
         ]
+        if self.doubtful:
+            usable = [
+                backend
+                for backend in usable
+                if backend not in self.doubtful or not self.is_excluded(backend, now_s)
+            ] or usable
         if not any(self._is_near_and_reliable(backend, now_s) for backend in usable):
             patience_s = 0.0
         best, best_cost_s = None, float("inf")
@@ -327,3 +355,7 @@
         service = table.services.get(service_name) if table else None
         max_connections = service.max_connections if service else DEFAULT_MAX_CONNECTIONS
         return max(1, int(CONNECTION_FRACTION * max_connections * self.limit_share))
+
+
+def _is_never_excluded(_backend: Backend, _now_s: float) -> bool:
+    return False
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -35,6 +35,7 @@
 from fighinge.router.relay import Relay, relay_routes
 from fighinge.router.retry_budget import RetryBudgetLimits
 from fighinge.router.revisions import era_of
+from fighinge.router.server_report_exchange import ServerReportExchange
 from fighinge.router.service import RouterService
 from fighinge.router.staleness import StalenessDetector
 from fighinge.router.typical_latency import TypicalLatencies
@@ -127,6 +128,17 @@
             steady_clock,
         )
         self._reachability.listen(self.peers.set_cut_off)
+        self._server_reports = ServerReportExchange(
+            self.pool,
+            self.channel,
+            own_address,
+            self.peers.routers_for_callers,
+            self.calls.accepts_connections,
+            self._reachability,
+            log,
+            steady_clock,
+            time.time,
+        )
         self._forwarder = Forwarder.from_settings(settings, self.peers, steady_clock, self._random)
         handover = Handover(self._reachability, self._forwarder, self.pool, log, steady_clock)
         self.service = RouterService(
@@ -270,6 +282,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._crash_check.close()
+        self._server_reports.close()
         self.calls.close()
         self._peer_follower.close()
         self._forwarder.close()
@@ -288,6 +301,7 @@
             self.view.expire(now_s)
             self._restart_stale(now_s)
             self._update_load(now_s)
+            self._server_reports.update(now_s)
             self.pool.set_limit_share(
                 self.peers.limit_share(),
                 self.peers.known_hosts(),
