--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -18,9 +18,10 @@
 if TYPE_CHECKING:
     from fighinge.router.decision_log import DecisionLog
     from fighinge.router.exchange import ServerStatement
+    from fighinge.router.heard_reports import HeardReport
     from fighinge.router.model import BackendRecord
     from fighinge.router.rate_share import RouterShare
-    from fighinge.router.server_reports import Condition, HeardReport
+    from fighinge.router.server_reports import Condition
 
 LOAD_REPORT_TTL_S = 0.25  # a reported load describes only the moment of the response
 MIN_DOWN_BACKOFF_S = 0.4  # a process restarts within about a second
--- a/fighinge/router/observed_health.py
+++ b/fighinge/router/observed_health.py
@@ -5,17 +5,12 @@
 import math
 from typing import TYPE_CHECKING
 
-from fighinge.router.server_reports import (
-    ANSWERING,
-    UNCERTAIN,
-    UNREACHABLE,
-    Condition,
-    HeardReports,
-)
+from fighinge.router.heard_reports import HeardReports
+from fighinge.router.server_reports import ANSWERING, UNCERTAIN, UNREACHABLE, Condition
 
 if TYPE_CHECKING:
+    from fighinge.router.heard_reports import HeardReport
     from fighinge.router.model import BackendRecord
-    from fighinge.router.server_reports import HeardReport
 
 SLOWNESS_EWMA_WEIGHT = 0.3  # three calls distinguish a slow phase from one pause
 MAX_SLOWNESS = 30.0  # above any slow phase; bounds the time until it has decayed
--- a/fighinge/router/server_report_exchange.py
+++ b/fighinge/router/server_report_exchange.py
@@ -10,10 +10,10 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
+from fighinge.router.heard_reports import HeardReport
 from fighinge.router.metrics import SERVER_REPORTS
 from fighinge.router.server_reports import (
     SLOW_RATIO,
-    HeardReport,
     ReportPlan,
     ServerReports,
     report_receivers,
--- a/tests/router/test_server_reports.py
+++ b/tests/router/test_server_reports.py
@@ -15,6 +15,7 @@
 from fighinge.router.addresses import RouterAddress
 from fighinge.router.backend import MIN_DOWN_BACKOFF_S
 from fighinge.router.changes import BackendListed, TablePublished
+from fighinge.router.heard_reports import REPORT_TTL_S, HeardReport, HeardReports
 from fighinge.router.peer_channel import MAX_DATAGRAM_BYTES, PeerChannel
 from fighinge.router.pool import BackendPool
 from fighinge.router.retry_budget import RetryBudgetLimits
@@ -24,12 +25,9 @@
     MAX_NEAR_RECEIVERS,
     MAX_OBSERVATION_AGE_S,
     MAX_RECEIVERS,
-    REPORT_TTL_S,
     UNCERTAIN,
     UNREACHABLE,
     Condition,
-    HeardReport,
-    HeardReports,
     ReportPlan,
     ServerReport,
     ServerReports,
