Test expiry, trials, distrust and feedback of server reports by themselves

Cause: of ten mutations of the code, four passed all tests: reports without expiry, servers in doubt that are not left out, refuted routers that are believed, and heard slowness in own reports.

Change: fixed times instead of the constant; other servers that are slower than the one in doubt; two new tests.

--- a/tests/router/test_server_reports.py
+++ b/tests/router/test_server_reports.py
@@ -15,7 +15,7 @@
 from fighinge.router.addresses import RouterAddress
 from fighinge.router.backend import MIN_DOWN_BACKOFF_S
 from fighinge.router.changes import BackendListed, TablePublished
-from fighinge.router.heard_reports import REPORT_TTL_S, HeardReport, HeardReports
+from fighinge.router.heard_reports import DISTRUST_S, REPORT_TTL_S, HeardReport, HeardReports
 from fighinge.router.peer_channel import MAX_DATAGRAM_BYTES, PeerChannel
 from fighinge.router.pool import BackendPool
 from fighinge.router.retry_budget import RetryBudgetLimits
@@ -240,7 +240,7 @@
         heard = fleet["z1-1"].backend("i0")
         assert heard.slowness(fleet.network.now_s) > 2.5
         del fleet.routers["z1-0"]
-        await fleet.run_for(REPORT_TTL_S + 0.2)
+        await fleet.run_for(1.3)
         assert heard.slowness(fleet.network.now_s) == 1.0
 
     _play(play)
@@ -291,6 +291,27 @@
     _play(play)
 
 
+def test_own_report_holds_nothing_that_was_heard():
+    """Guards against feedback by a router that has itself something to report of the server."""
+
+    async def play(fleet):
+        fleet["z1-1"].record("i0", REFUSED)
+        await fleet.run_for(0.1)
+        for _ in range(6):
+            fleet["z1-0"].record("i0", ratio=9.0)
+        await fleet.run_for(1.0)
+        assert fleet["z1-1"].backend("i0").slowness(fleet.network.now_s) > 1.5
+        slowness = {
+            report.slowness_tenths
+            for _, source, _, data in fleet.network.sent
+            for report in msgspec.msgpack.decode(data, type=ServerReports).reports
+            if source == "z1-1"
+        }
+        assert slowness == {10}
+
+    _play(play)
+
+
 def test_server_out_of_reach_of_one_data_centre_stays_in_use_in_the_others():
     """Guards against links of a data centre that are taken for a failure of servers."""
 
@@ -334,6 +355,9 @@
         fleet["z1-0"].record("i0", REFUSED)
         await fleet.run_for(0.3)
         other = fleet["z1-1"]
+        for name in ("i1", "i2"):  # so slow that cost alone would choose the server in doubt
+            for _ in range(6):
+                other.record(name, ratio=6.0)
         assert other.chosen() == {"i1", "i2"}
         for name in ("i1", "i2"):
             other.backend(name).record_leaving()
@@ -545,6 +569,20 @@
     assert worst_s <= REPORT_TTL_S
 
 
+def test_refuted_router_is_not_believed_until_a_while_later():
+    """Guards against a doubt that returns with each report of a router with a broken link."""
+    heard = HeardReports()
+    heard.add(_heard("a", state=UNREACHABLE), 10.0)
+    assert heard.is_unreachable(9.9, 10.0)
+    assert heard.refute(10.1, 10.1)
+    heard.add(_heard("a", state=UNREACHABLE), 10.3)
+    assert not heard.is_unreachable(10.1, 10.3)
+    heard.add(_heard("b", state=UNREACHABLE), 10.4)
+    assert heard.is_unreachable(10.1, 10.4)
+    heard.add(_heard("a", state=UNREACHABLE), 10.2 + DISTRUST_S)
+    assert heard.is_unreachable(10.1, 10.2 + DISTRUST_S)
+
+
 def test_late_reports_are_ignored():
     heard = HeardReports()
     old = _heard("a", age_s=MAX_OBSERVATION_AGE_S + 0.1, state=UNREACHABLE)
