--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -37,6 +37,7 @@
 from fighinge.router.relay import Relay, relay_routes
 from fighinge.router.retry_budget import RetryBudgetLimits
 from fighinge.router.revisions import era_of
+from fighinge.router.server_report_exchange import ServerReportExchange
 from fighinge.router.service import RouterService
 from fighinge.router.shared_quota import SharedQuota
 from fighinge.router.staleness import StalenessDetector
@@ -130,6 +131,17 @@
             steady_clock,
         )
         self._reachability.listen(self.peers.set_cut_off)
+        self._server_reports = ServerReportExchange(
+            self.pool,
+            self.channel,
+            own_address,
+            self.peers.routers_for_callers,
+            self.calls.accepts_connections,
+            self._reachability,
+            log,
+            steady_clock,
+            time.time,
+        )
         self._forwarder = Forwarder.from_settings(settings, self.peers, steady_clock, self._random)
         handover = Handover(self._reachability, self._forwarder, self.pool, log, steady_clock)
         self._quota = SharedQuota(
@@ -282,6 +294,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._crash_check.close()
+        self._server_reports.close()
         self.calls.close()
         self._peer_follower.close()
         self._forwarder.close()
@@ -302,6 +315,7 @@
             self._update_load(now_s)
             limit_share = self.peers.limit_share()
             self._quota.update(self.peers.quota_routers(limit_share), now_s)
+            self._server_reports.update(now_s)
             self.pool.set_limit_share(
                 limit_share,
                 self.peers.known_hosts(),
