--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -130,7 +130,8 @@
             *changes.get("routes", ()),
         ]
         services = [{"name": name, "max-conns": 36} for name in [*self._shards, "single"]]
-        config = {"version": self.version, "routes": routes, "services": services, "limits": {}}
+        limits = changes.get("limits", {})
+        config = {"version": self.version, "routes": routes, "services": services, "limits": limits}
         await self.store.put("op/config", config)
         return self.version
 
