Take a status outside 100 to 599 as no response

A server in trouble answered with status 000. The parser counted any status below 200 as interim, so the call stayed open until its deadline, or bytes behind it that form a 200 became the answer; 600 and 999 were passed on to the caller. Such a status now fails the call at once as a bad answer, which may be retried as such, and its connection ends. Interim responses 100 to 199 are as before.

test_response_parser.py and test_backend_calls.py: 20 new cases failed on the parser before (000 took 5 s and ended as a time-out; 099, 600 and 999 gave a response) and pass now, with all others of both files.

--- a/fighinge/router/response_parser.py
+++ b/fighinge/router/response_parser.py
@@ -8,6 +8,8 @@
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024  # of all responses in progress; a small host has 200 MB
 SMALL_RESPONSE_BYTES = 256 * 1024  # accepted even if large responses fill the buffers
+FIRST_STATUS = 100  # of HTTP; a status outside the range is no response
+LAST_STATUS = 599
 FIRST_FINAL_STATUS = 200  # responses with a lower status precede another one
 
 
@@ -48,7 +50,8 @@
 
     ``_trailing_bytes`` counts the bytes since the last part of the body, as those of a trailer are
     held until it is complete. A body with a transfer coding other than chunks could not be passed
-    on as it is, so that such a response is invalid (``_has_other_coding``).
+    on as it is, so that such a response is invalid (``_has_other_coding``). So is one whose status
+    is not one of HTTP (``_has_invalid_status``), with everything behind it.
     """
 
     __slots__ = (
@@ -56,6 +59,7 @@
         "_body_bytes",
         "_buffers",
         "_fed_bytes",
+        "_has_invalid_status",
         "_has_length",
         "_has_other_coding",
         "_is_head",
@@ -90,6 +94,7 @@
         self._trailing_bytes = 0
         self._has_length = self._has_other_coding = False
         self._is_too_large = False
+        self._has_invalid_status = False
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self.has_all_headers = False
@@ -126,6 +131,8 @@
                 self.has_surplus = True
                 return ""
             return str(error) or "the response is invalid"
+        if self._has_invalid_status:
+            return "the status is not one of HTTP"
         if self._is_too_large:
             return "the response is too large"
         if self._has_other_coding and self.has_all_headers:
@@ -148,9 +155,20 @@
         if self.is_complete:
             self.has_surplus = True
 
+    def on_status(self, _reason: bytes) -> None:
+        """Handle a part of the reason phrase, which follows the status; httptools calls this."""
+        if not self.has_all_headers:
+            self._check_status()
+
+    def _check_status(self) -> bool:
+        """Return whether every status so far is one of HTTP."""
+        if not FIRST_STATUS <= self._parser.get_status_code() <= LAST_STATUS:
+            self._has_invalid_status = True
+        return not self._has_invalid_status
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header or a trailer; httptools calls this."""
-        if self.has_all_headers:
+        if self.has_all_headers or not self._check_status():
             return
         if not self.headers:
             self.status = self._parser.get_status_code()
@@ -164,7 +182,7 @@
 
     def on_headers_complete(self) -> None:
         """Handle the end of a header section; httptools calls this."""
-        if self.has_all_headers:
+        if self.has_all_headers or not self._check_status():
             return
         self.status = self._parser.get_status_code()
         if self.status < FIRST_FINAL_STATUS:
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -491,3 +491,20 @@
             if parser not in refused and parser.feed(chunk):
                 refused.add(parser)
     assert len(refused) == 2  # the other eight have less than MAX_BUFFERED_BYTES together
+
+
+@pytest.mark.parametrize("status", ["000 Trouble", "099 X", "600 X", "999 X"])
+@pytest.mark.parametrize("follows", [b"", response(b"ok")])
+def test_status_outside_the_protocol_fails_the_call_and_ends_its_connection(status, follows):
+    # 000 kept the call open until its deadline; 600 and 999 were passed on.
+    async def reply(_head, writer):
+        writer.write(response(status=status) + follows)
+        return True
+
+    async def exercise(calls, address, server):
+        started_s = time.monotonic()
+        results = [await calls.call(address, GET, 5.0, is_idempotent=True) for _ in range(2)]
+        is_prompt = time.monotonic() - started_s < 5.0
+        return [result.fault for result in results], server.opened_connections, is_prompt
+
+    assert _run(reply, exercise) == ([CallFault.BAD_ANSWER] * 2, 2, True)
--- a/tests/router/test_response_parser.py
+++ b/tests/router/test_response_parser.py
@@ -127,3 +127,27 @@
     _, reasons = _feed(CHUNKED[:-2] + b"X-Trailer: ", *parts)
     assert reasons[-1] == "the trailer section is too long"
     assert set(reasons[: len(parts) // 3]) == {""}
+
+
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+@pytest.mark.parametrize("rest", [b"", b" Trouble", b" OK\r\nX-Own: a"])
+def test_status_outside_the_protocol_is_no_response(status, rest):
+    # 000 counted as interim, so that the call stayed open or a later 200 became its answer.
+    head = f"HTTP/1.1 {status}".encode() + rest + b"\r\nContent-Length: 0\r\n\r\n"
+    for parts in ((head,), (head + WITH_LENGTH,), tuple(bytes([byte]) for byte in head)):
+        parser, reasons = _feed(*parts)
+        assert "the status is not one of HTTP" in reasons
+        assert (parser.is_complete, parser.has_all_headers, parser.status) == (False, False, 0)
+        assert (parser.end(), parser.headers) == (False, [])
+
+
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_any_interim_status_precedes_the_response(status):
+    parser, [reason] = _feed(f"HTTP/1.1 {status} X\r\nX-Hint: 1\r\n\r\n".encode() + WITH_LENGTH)
+    assert (reason, parser.status, parser.is_complete) == ("", 200, True)
+
+
+@pytest.mark.parametrize("status", [200, 299, 404, 599])
+def test_any_final_status_of_the_protocol_is_a_response(status):
+    parser, [reason] = _feed(f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
+    assert (reason, parser.status, parser.is_complete) == ("", status, True)
