Take a status outside 100 to 599 as no answer in the curl client

libcurl accepts any status of three digits from 100 on, so that 600 and 999 came as answers and their connection was used again; 000 and 099 ended as a lost connection. The callback for header lines now ends the transfer and its connection, and the aggregator takes that as a bad answer.

test_curl.py: the new test failed before (one connection for two calls with 600) and passes now; test_connections, test_contracts, test_standin_backend and test_watcher pass.

--- a/fighinge/aggregator/http_client.py
+++ b/fighinge/aggregator/http_client.py
@@ -6,6 +6,7 @@
 
 import logbook
 import msgspec
+import pycurl
 from tornado.httpclient import HTTPRequest
 
 from fighinge.aggregator.base import Address, CallFailure, CallFault
@@ -109,6 +110,8 @@
     logger.debug("call to a backend server failed: {}", failure.reason)
     if not failure.sent:
         return CallFailure(CallFault.NOT_CONNECTED, "the backend server accepted no connection")
+    if failure.error_number == pycurl.E_WRITE_ERROR:
+        return CallFailure(CallFault.BAD_ANSWER, "the status is not one of HTTP")
     if failure.timed_out:
         return CallFailure(CallFault.TIMEOUT, "no answer from the backend server in time")
     return CallFailure(CallFault.CONNECTION_LOST, "the connection to the backend server was lost")
--- a/fighinge/curl.py
+++ b/fighinge/curl.py
@@ -24,6 +24,7 @@
 MAX_RESPONSE_BYTES = 100 * 1024 * 1024
 KEEPALIVE_INTERVAL_S = 1  # the minimum that Linux accepts
 KEEPALIVE_PROBES = 2  # a single lost packet must not close a connection
+FIRST_DIGITS = (b"1", b"2", b"3", b"4", b"5")  # of a status; libcurl accepts three digits only
 TCP_USER_TIMEOUT_MS = 2000  # the duration of the keep-alive probes
 
 
@@ -120,7 +121,7 @@
         if self._source_address:
             curl.setopt(pycurl.INTERFACE, f"host!{self._source_address}")
         forbid_body_rewind(curl)
-        skip_response_headers(curl)
+        check_status_lines(curl)
 
     def _curl_setup_request(
         self, curl: pycurl.Curl, request: HTTPRequest, buffer: BytesIO, headers: HTTPHeaders
@@ -268,9 +269,19 @@
     curl.setopt(pycurl.SEEKFUNCTION, _refuse_seek)
 
 
-def skip_response_headers(curl: pycurl.Curl) -> None:
-    """Skip the decoding of response headers, which are never read."""
-    curl.setopt(pycurl.HEADERFUNCTION, _ignore)
+def check_status_lines(curl: pycurl.Curl) -> None:
+    """End a transfer and its connection if the status is not one of HTTP.
+
+    libcurl accepts up to 999. The decoding of response headers, which are never read, is skipped.
+    """
+    curl.setopt(pycurl.HEADERFUNCTION, _check_status_line)
+
+
+def _check_status_line(line: bytes) -> int:
+    """Return the number of bytes that are accepted; none end the transfer."""
+    if line.startswith(b"HTTP/") and line.partition(b" ")[2][:1] not in FIRST_DIGITS:
+        return 0
+    return len(line)
 
 
 def _ignore(_line: object) -> None:
--- a/tests/test_curl.py
+++ b/tests/test_curl.py
@@ -6,6 +6,8 @@
 
 from tornado.httpclient import HTTPRequest
 
+from fighinge.aggregator.base import Address, CallFault
+from fighinge.aggregator.http_client import HttpBackendClient
 from fighinge.curl import TransferFailure, create_client, fetch_once
 from standins.scripted_server import ScriptedServer, response
 
@@ -56,3 +58,28 @@
         return [isinstance(result, TransferFailure) for result in results]
 
     assert asyncio.run(run()) == [False] * REQUESTS
+
+
+def test_status_outside_the_protocol_fails_the_call_and_ends_its_connection():
+    """libcurl takes 600 and 999 as answers, and keeps the connection for the next request."""
+
+    async def call(status: str) -> tuple[object, int]:
+        async def reply(_head, writer):
+            writer.write(response(b"{}", status=status))
+            return True
+
+        server = ScriptedServer(reply)
+        await server.start()
+        client = HttpBackendClient.create()
+        address = Address("127.0.0.1", server.port)
+        results = [await client.state(address, 5.0) for _ in range(2)]
+        client.close()
+        server.stop()
+        return [getattr(result, "fault", result) for result in results], server.opened_connections
+
+    async def run():
+        return [await call(status) for status in ("000 X", "099 X", "600 X", "999 X")]
+
+    for faults, connections in asyncio.run(run()):
+        assert set(faults) <= {CallFault.BAD_ANSWER, CallFault.CONNECTION_LOST}
+        assert connections == 2
