--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -136,7 +136,8 @@
             *changes.get("routes", ()),
         ]
         services = [{"name": name, "max-conns": 36} for name in [*self._shards, "single"]]
-        config = {"version": self.version, "routes": routes, "services": services, "limits": {}}
+        limits = changes.get("limits", {})
+        config = {"version": self.version, "routes": routes, "services": services, "limits": limits}
         accounts = changes.get("accounts", self._accounts)
         if accounts is not None:
             config["tenants"] = accounts
