Bound the bytes and the connections of all callers of an entry

An entry held up to 1 MB of each body, also of one that it had found too large and read on to discard, on any number of connections. It now holds at most 64 MB for the requests of all callers, keeps nothing of a body that is too large, and has at most half as many connections as it may open files. Beyond that it closes the connections chosen by the same decisions as in a router, which therefore move to fighinge/ (caller_memory.py, connection_limit.py, caller_stream.py; their tests to tests/).

--- a/fighinge/router/caller_stream.py
+++ b/fighinge/caller_stream.py
@@ -38,8 +38,13 @@
 class CallerStream(IOStream):
     """A caller's connection; ``timer`` ends its present phase, if that may not last."""
 
-    def __init__(self, connection: socket.socket, observer: StreamObserver) -> None:
-        super().__init__(connection)
+    def __init__(
+        self,
+        connection: socket.socket,
+        observer: StreamObserver,
+        max_buffer_size: int | None = None,
+    ) -> None:
+        super().__init__(connection, max_buffer_size=max_buffer_size)
         self._observer = observer
         self.phase = Phase.IDLE
         self.timer: asyncio.TimerHandle | None = None
--- a/fighinge/entry/http_server.py
+++ b/fighinge/entry/http_server.py
@@ -9,9 +9,14 @@
 import logbook
 import msgspec
 import prometheus_client
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler, stream_request_body
 
+from fighinge.entry.bounded_server import (
+    MAX_HELD_BYTES,
+    BoundedServer,
+    CallerBounds,
+    max_connections,
+)
 from fighinge.entry.peer_entries import FORWARDED_HEADER
 from fighinge.entry.query_service import query_error
 from fighinge.entry.request_parsing import decode_request, decode_request_id
@@ -33,12 +38,13 @@
 
 
 class HttpLimits(msgspec.Struct, frozen=True):
-    """Limits on one request."""
+    """Limits on one request, and on the bytes that all requests hold together."""
 
     max_body_bytes: int = 1024 * 1024
     max_header_bytes: int = 16 * 1024
     body_timeout_s: float = 10.0
     idle_timeout_s: float = 120.0
+    max_held_bytes: int = MAX_HELD_BYTES
 
 
 class BaseHandler(RequestHandler):
@@ -52,6 +58,14 @@
             reason = f"the headers have more than {limits.max_header_bytes} bytes"
             self.write_failure(Failure(ErrorKind.TOO_LARGE, reason, "headers"))
 
+    def on_finish(self) -> None:
+        """Record that the connection has had a complete answer."""
+        self._bounds.start_service(self.request.connection.stream)
+
+    @property
+    def _bounds(self) -> CallerBounds:
+        return self.settings["bounds"]
+
     def write_message(self, message: msgspec.Struct, status: int = 200) -> None:
         """Finish the response with a message."""
         self.set_status(status)
@@ -122,6 +136,9 @@
         limit = self.settings["limits"].max_body_bytes
         if len(self._body) + len(chunk) > limit:
             self._too_large = True
+            self._body = bytearray()
+        if self._too_large:
+            self._bounds.discard(self.request.connection.stream)
         else:
             self._body.extend(chunk)
 
@@ -131,6 +148,7 @@
         if self._too_large:
             self._reject_body()
             return
+        self._bounds.start_service(self.request.connection.stream)
         body = bytes(self._body)
         request = decode_request(body)
         if isinstance(request, Failure):
@@ -243,7 +261,7 @@
     entries: Callable[[str, str], EntriesAnswer | Failure],
     labels_of: Callable[[str], QueryLabels] = lambda _name: QueryLabels(),
     limits: HttpLimits | None = None,
-) -> HTTPServer:
+) -> BoundedServer:
     """Create the HTTP server of an entry; it does not listen yet.
 
     :param entries: function that maps a caller and its data centre to the answer of
@@ -251,6 +269,7 @@
     :param labels_of: function that maps a service name to the labels of its metrics
     """
     limits = limits or HttpLimits()
+    bounds = CallerBounds(limits.max_held_bytes, max_connections(), limits.idle_timeout_s)
     query_arguments = {"executor": executor, "labels_of": labels_of}
     application = Application(
         [
@@ -263,9 +282,11 @@
         default_handler_class=UnknownPathHandler,
         log_function=lambda _handler: None,
         limits=limits,
+        bounds=bounds,
     )
-    return HTTPServer(
+    return BoundedServer(
         application,
+        bounds=bounds,
         max_body_size=limits.max_body_bytes,
         max_buffer_size=max(limits.max_body_bytes, CONNECTION_CLOSE_HEADER_BYTES),
         max_header_size=CONNECTION_CLOSE_HEADER_BYTES,
--- a/fighinge/metrics.py
+++ b/fighinge/metrics.py
@@ -25,6 +25,9 @@
 # A query at the target size calls 640 backend servers.
 ATTEMPT_BUCKETS = (0, 1, 2, 4, 8, 16, 32, 64, 128, 256, 640, 1024)
 
+CALLERS_REFUSED = Counter(
+    "fighinge_callers_refused", "Connections of callers that exceeded a limit", ("reason",)
+)
 LATENCY = Histogram(
     "fighinge_query_latency_seconds",
     "Time from the arrival of a query to its answer or error",
--- a/fighinge/router/caller_guard.py
+++ b/fighinge/router/caller_guard.py
@@ -9,12 +9,12 @@
 import msgspec
 from tornado import httputil
 
+from fighinge.caller_memory import CallerMemory
+from fighinge.caller_stream import CallerStream, Phase
+from fighinge.connection_limit import ConnectionLimit
 from fighinge.errors import ErrorKind, Failure
-from fighinge.router.caller_memory import CallerMemory
-from fighinge.router.caller_stream import CallerStream, Phase
-from fighinge.router.connection_limit import ConnectionLimit
+from fighinge.metrics import CALLERS_REFUSED
 from fighinge.router.lingering_close import LingeringCloser
-from fighinge.router.metrics import CALLERS_REFUSED
 from fighinge.router.model import CallerLimits
 
 if TYPE_CHECKING:
--- a/fighinge/router/http_server.py
+++ b/fighinge/router/http_server.py
@@ -21,8 +21,8 @@
 
     from tornado.http1connection import HTTP1Connection
 
+    from fighinge.caller_stream import CallerStream
     from fighinge.router.caller_guard import CallerGuard
-    from fighinge.router.caller_stream import CallerStream
     from fighinge.router.exchange import Codec
     from fighinge.router.model import CallerLimits
     from fighinge.router.service import RouterService
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -25,9 +25,6 @@
 LIMITED_CALLS = Counter(
     "fighinge_limited_calls", "Calls to backend servers that name a limit of their rate", ("kind",)
 )
-CALLERS_REFUSED = Counter(
-    "fighinge_callers_refused", "Connections of callers that exceeded a limit", ("reason",)
-)
 CUT_OFF = Gauge("fighinge_cut_off", "Whether this router reaches no backend server")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 STORE_ERA = Gauge("fighinge_store_era", "How often the store has come back from an older copy")
--- a/tests/platform/test_caller_floods.py
+++ b/tests/platform/test_caller_floods.py
@@ -162,9 +162,6 @@
 
 
 HELD = (None, True, True)
-ENTRY_UNBOUNDED = pytest.mark.xfail(
-    strict=True, reason="an entry bounds neither bytes nor connections of callers"
-)
 
 
 @pytest.mark.parametrize(
@@ -215,7 +212,6 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, before)
 
 
-@ENTRY_UNBOUNDED
 @pytest.mark.parametrize("kinds", [[declared_body], [chunked_body], [nothing]])
 def test_floods_leave_an_entry_its_memory_and_descriptors(kinds):
     async def run():
--- a/tests/router/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fighinge.router.caller_memory import CallerMemory
+from fighinge.caller_memory import CallerMemory
 
 LIMIT_BYTES = 1000
 
--- a/tests/router/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fighinge.router.connection_limit import ConnectionLimit
+from fighinge.connection_limit import ConnectionLimit
 
 IDLE_TIMEOUT_S = 15.0
 
