--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -43,9 +43,6 @@
     "Reports of backend servers between routers, and probes of servers in doubt",
     ("kind",),
 )
-CALLERS_REFUSED = Counter(
-    "fighinge_callers_refused", "Connections of callers that exceeded a limit", ("reason",)
-)
 CUT_OFF = Gauge("fighinge_cut_off", "Whether this router reaches no backend server")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 STORE_ERA = Gauge("fighinge_store_era", "How often the store has come back from an older copy")
