--- a/fighinge/router/caller_guard.py
+++ b/fighinge/router/caller_guard.py
@@ -23,6 +23,7 @@
 
     from fighinge.router.decision_log import DecisionLog
     from fighinge.router.exchange import Answer, Codec
+    from fighinge.router.settings import RouterSettings
 
 # Until a configuration is known; larger than the usual limits, as a request is then refused with
 # the status for that.
@@ -58,6 +59,17 @@
         self._unlogged: Counter[str] = Counter()
         self._logged_s = -MIN_LOG_INTERVAL_S
 
+    @classmethod
+    def from_settings(
+        cls,
+        settings: RouterSettings,
+        codec: Codec,
+        clock: Callable[[], float],
+        log: DecisionLog,
+    ) -> CallerGuard:
+        """Return the guard of a router with these settings."""
+        return cls(codec, clock, log, settings.memory_bytes, settings.max_descriptors)
+
     def accept(self, connection: socket.socket) -> CallerStream | None:
         """Return the stream of a new connection, ``None`` if there are too many."""
         stream = CallerStream(connection, self)
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -32,8 +32,6 @@
 from fighinge.router.peer_follower import PeerFollower, ReaderRole
 from fighinge.router.peers import Peers
 from fighinge.router.pool import BackendPool
-from fighinge.router.quota import QuotaBounds
-from fighinge.router.quota_owners import QuotaOwners
 from fighinge.router.reachability import Reachability
 from fighinge.router.relay import Relay, relay_routes
 from fighinge.router.retry_budget import RetryBudgetLimits
@@ -145,14 +143,7 @@
         )
         self._forwarder = Forwarder.from_settings(settings, self.peers, steady_clock, self._random)
         handover = Handover(self._reachability, self._forwarder, self.pool, log, steady_clock)
-        self._quota = SharedQuota(
-            QuotaBounds(settings.quota_window_s, settings.quota_overage, settings.quota_slack),
-            settings.address,
-            QuotaOwners(settings.address, settings.quota_window_s, steady_clock()),
-            self.channel,
-            log,
-            steady_clock,
-        )
+        self._quota = SharedQuota.from_settings(settings, self.channel, log, steady_clock)
         self.service = RouterService(
             self.view,
             self.pool,
@@ -164,9 +155,7 @@
             self._quota,
             uses_accounts=settings.uses_accounts,
         )
-        guard = CallerGuard(
-            codec, steady_clock, log, settings.memory_bytes, settings.max_descriptors
-        )
+        guard = CallerGuard.from_settings(settings, codec, steady_clock, log)
         self.caller_server = CallerServer(self.service, codec, steady_clock, guard)
         self.pauses = PauseDetector(steady_clock)
         self.pauses.listen(self._handle_pause)
--- a/fighinge/router/shared_quota.py
+++ b/fighinge/router/shared_quota.py
@@ -12,7 +12,15 @@
 import msgspec
 
 from fighinge.router.metrics import QUOTA_TIMEOUTS, QuotaMetrics
-from fighinge.router.quota import Decision, Lease, LocalAllowance, QuotaLimits, TokenBucket
+from fighinge.router.quota import (
+    Decision,
+    Lease,
+    LocalAllowance,
+    QuotaBounds,
+    QuotaLimits,
+    TokenBucket,
+)
+from fighinge.router.quota_owners import QuotaOwners
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -21,8 +29,8 @@
     from fighinge.router.exchange import CallerRequest
     from fighinge.router.model import ClientAccount
     from fighinge.router.peer_channel import PeerChannel
-    from fighinge.router.quota import QuotaBounds
-    from fighinge.router.quota_owners import QuotaOwners, RouterSet
+    from fighinge.router.quota_owners import RouterSet
+    from fighinge.router.settings import RouterSettings
 
 RESEND_S = 0.01  # five times the usual round trip
 TIMEOUT_S = 0.025  # a caller waits no longer for an owner
@@ -141,6 +149,19 @@
         channel.handle(QuotaRequest, self._handle_request)
         channel.handle(QuotaGrant, self._handle_grant)
 
+    @classmethod
+    def from_settings(
+        cls,
+        settings: RouterSettings,
+        channel: PeerChannel,
+        log: DecisionLog,
+        clock: Callable[[], float],
+    ) -> SharedQuota:
+        """Return the gate of a router with these settings."""
+        bounds = QuotaBounds(settings.quota_window_s, settings.quota_overage, settings.quota_slack)
+        owners = QuotaOwners(settings.address, settings.quota_window_s, clock())
+        return cls(bounds, settings.address, owners, channel, log, clock)
+
     def set_accounts(self, accounts: Iterable[ClientAccount], now_s: float) -> None:
         """Apply the accounts of the active configuration."""
         if accounts is self._applied:
