Try another server while a connection is slow

Change: where load management is on, a call that is not connected after 27 ms is set aside and another server is tried without the retry budget. Both share one right to send the request (open_calls.py), which is asked for once the connection is there. Servers with a slow or failed connection are passed over while another is usable, and are tried by a connection without a request beside a call to another server (connection_doubt.py). A hedge waits until the call has been sent. The trace of a call and the failure without a server leave service_call.py for call_trace.py and no_server.py.

The tests of router processes were not run.

--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -8,6 +8,7 @@
 
 from fighinge.aggregator.base import CallFailure, CallFault
 from fighinge.router.cold_limit import ColdCallWindow
+from fighinge.router.connection_doubt import ConnectionDoubt
 from fighinge.router.exchange import BackendResponse
 from fighinge.router.limited_calls import CallKind
 from fighinge.router.metrics import observe_statement
@@ -66,6 +67,7 @@
         "_shed_until_s",
         "_unreachable_s",
         "cold_quota",
+        "connection_doubt",
         "connection_quota",
         "is_leaving",
         "limit",
@@ -88,6 +90,7 @@
         self.connection_quota = 1
         self.cold_quota: int | None = None
         self._cold_calls = ColdCallWindow()
+        self.connection_doubt = ConnectionDoubt()
         self._calls: dict[int, _Call] = {}
         self._last_call_number = 0
         self._health = ObservedHealth()
@@ -288,6 +291,7 @@
     def record_refused_connection(self, now_s: float) -> None:
         """Record that the server refused a connection that carried no call."""
         self._unreachable_s = now_s
+        self.connection_doubt.record_failed()
         self._mark_down("refused a connection", now_s)
 
     def record_statement(self, statement: ServerStatement, now_s: float) -> None:
@@ -318,6 +322,7 @@
 
     def forget_unreachable(self) -> None:
         """Forget failures that were not due to the server."""
+        self.connection_doubt.record_established()
         self._unreachable_s = float("-inf")
         self._next_run_leaves_until_s = float("-inf")
         self._down_until_s = float("-inf")
@@ -333,6 +338,7 @@
         self._observe_failure(True, now_s)
         if failure.fault is CallFault.NOT_CONNECTED:
             self._unreachable_s = now_s
+            self.connection_doubt.record_failed()
             self._mark_down(failure.reason, now_s)
         elif failure.fault is CallFault.TIMEOUT:
             self._observe_slowness(took_s / typical_s, now_s)
--- a/fighinge/router/backend_calls.py
+++ b/fighinge/router/backend_calls.py
@@ -31,10 +31,12 @@
         is_idempotent: bool,
         on_start: Callable[[], None] | None = None,
         on_late_response: Callable[[InterruptedResponse], None] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> RawResponse | CallFailure:
         """Send a request at most once and return the complete response or the failure.
 
         :param on_start: called before the first byte is sent
+        :param may_send: called once there is a connection; if false, nothing is sent
         :param on_late_response: called with the headers of a response that arrives as the call is
             cancelled, or shortly after
         """
@@ -91,10 +93,12 @@
         is_idempotent: bool,
         on_start: Callable[[], None] | None = None,
         on_late_response: Callable[[InterruptedResponse], None] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> RawResponse | CallFailure:
         """Send a request at most once and return the complete response or the failure.
 
         :param on_start: called before the first byte is sent
+        :param may_send: called once there is a connection; if false, nothing is sent
         :param on_late_response: called with the headers of a response that arrives as the call is
             cancelled, or shortly after
         """
@@ -110,6 +114,9 @@
             self._pool.keep(connection)
             # This fault proves that nothing was sent, and does not count against the server.
             return CallFailure(CallFault.CONNECTION_LIMIT, "no time is left for the call")
+        if may_send is not None and not may_send():
+            self._pool.keep(connection)
+            return CallFailure(CallFault.CONNECTION_LIMIT, "another call sends the request")
         if on_start is not None:
             on_start()
         self.transferred_bytes += len(request.body) + HEADER_BYTES
--- a/fighinge/router/call_runner.py
+++ b/fighinge/router/call_runner.py
@@ -39,6 +39,7 @@
         "_clock",
         "_codec",
         "_crash_check",
+        "_open",
         "_reachability",
         "crash_suspects",
         "typical_latencies",
@@ -59,6 +60,7 @@
         self._crash_check = crash_check
         self._codec = codec
         self._clock = clock
+        self._open: set[asyncio.Task] = set()  # asyncio itself keeps weak references
         self.typical_latencies = typical_latencies
         self.crash_suspects = crash_suspects
 
@@ -74,6 +76,7 @@
         follows_loss: bool,
         is_idempotent: bool,
         kind: CallKind,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> asyncio.Task[CallResult]:
         """Count a call to a backend server at once, and send the request in a task.
 
@@ -86,6 +89,7 @@
         :param follows_loss: whether an earlier call of the same attempt was lost
         :param is_idempotent: whether the request may run more than once
         :param kind: why the call is made
+        :param may_send: called once there is a connection; if false, nothing is sent
         :returns: the task, whose result is the decoded response or the failure of the call
         """
         started_s = self._clock()
@@ -104,6 +108,10 @@
         )
         has_started = False
 
+        def may_send_now() -> bool:
+            backend.connection_doubt.record_established()
+            return may_send()
+
         def record_start() -> None:
             nonlocal has_started
             has_started = True
@@ -118,8 +126,11 @@
             call_number,
             is_idempotent,
             record_start,
+            may_send_now,
         )
         task = asyncio.create_task(self._run(backend, call_number, send))
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
 
         def handle_end(ended: asyncio.Task[CallResult]) -> None:
             # Also called for a task that is cancelled before its first step.
@@ -134,6 +145,23 @@
         task.add_done_callback(handle_end)
         return task
 
+    def try_connection(self, backend: Backend) -> None:
+        """Open a connection without a request to a server whose last one has failed."""
+        backend.connection_doubt.is_on_trial = True
+        task = asyncio.create_task(self._try_connection(backend))
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+
+    async def _try_connection(self, backend: Backend) -> None:
+        try:
+            is_accepted = await self._calls.accepts_connections(backend.record.address)
+        finally:
+            backend.connection_doubt.is_on_trial = False
+        if is_accepted:
+            backend.connection_doubt.record_established()
+        else:
+            backend.record_refused_connection(self._clock())
+
     @staticmethod
     async def _run(
         backend: Backend, call_number: int, send: Callable[[], Awaitable[CallResult]]
@@ -155,6 +183,7 @@
         call_number: int,
         is_idempotent: bool,
         on_start: Callable[[], None],
+        may_send: Callable[[], bool],
     ) -> CallResult:
         """Send a request to a backend server and return the result."""
         record = backend.record
@@ -166,6 +195,7 @@
             is_idempotent=is_idempotent,
             on_start=on_start,
             on_late_response=partial(self._record_late_response, backend),
+            may_send=may_send,
         )
         statement = None
         if isinstance(raw, RawResponse | InterruptedResponse):
--- a/fighinge/router/hedging.py
+++ b/fighinge/router/hedging.py
@@ -90,17 +90,19 @@
         *,
         is_probe: bool,
         is_quarantined: bool,
+        is_paid: bool,
     ) -> Backend | UnsentReason:
         """Spend the budget for a hedge and return its backend server, or why it is not sent.
 
         :param choose: returns the server to call for a typical latency in seconds
         :param is_probe: whether the request is suspected to crash servers
         :param is_quarantined: whether the request is known to crash servers
+        :param is_paid: whether the budget was spent on a hedge that has not been sent
         """
         budget, limit_share = self._service.retry_budget, self._pool.limit_share
         if not self._may_hedge():
             return UnsentReason.TOO_MANY
-        if not budget.can_hedge(limit_share, now_s):
+        if not is_paid and not budget.can_hedge(limit_share, now_s):
             return UnsentReason.BUDGET
         if is_probe:
             return UnsentReason.PROBE
@@ -112,7 +114,7 @@
             return UnsentReason.NO_SERVER
         if now_s + backend.expected_s(typical_s, now_s) >= self._limits.hard_deadline_s:
             return UnsentReason.NO_TIME
-        if not budget.acquire_hedge(limit_share, now_s):
+        if not is_paid and not budget.acquire_hedge(limit_share, now_s):
             return UnsentReason.BUDGET
         return backend
 
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -43,6 +43,10 @@
     "Reports of backend servers between routers, and probes of servers in doubt",
     ("kind",),
 )
+SLOW_CONNECTIONS = Counter(
+    "fighinge_slow_connections",
+    "Calls that were slow to connect and for which another server was tried",
+)
 CUT_OFF = Gauge("fighinge_cut_off", "Whether this router reaches no backend server")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 STORE_ERA = Gauge("fighinge_store_era", "How often the store has come back from an older copy")
--- a/fighinge/router/service_call.py
+++ b/fighinge/router/service_call.py
@@ -3,34 +3,38 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from fighinge.aggregator.base import CallFailure, CallFault, proves_not_sent
 from fighinge.errors import ErrorKind, Failure
-from fighinge.router.call_trace import describe_result, format_traces
+from fighinge.router.call_trace import CallTrace, format_traces
+from fighinge.router.connection_doubt import SLOW_CONNECTION_S, prefer_connected, servers_to_try
 from fighinge.router.crash_suspects import request_fingerprint
-from fighinge.router.ended_tasks import EndedTasks
 from fighinge.router.exchange import BackendResponse
 from fighinge.router.hedging import Hedging, UnsentReason
 from fighinge.router.limited_calls import CallKind
+from fighinge.router.metrics import SLOW_CONNECTIONS
+from fighinge.router.no_server import no_server_failure
+from fighinge.router.open_calls import OpenCalls
 from fighinge.router.reached_servers import ReachedServers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fighinge.router.backend import Backend
-    from fighinge.router.call_runner import CallResult, CallRunner
+    from fighinge.router.call_runner import CallRunner
     from fighinge.router.exchange import CallerRequest
+    from fighinge.router.open_calls import EndedCall
     from fighinge.router.pool import BackendPool, Service
 
 BUSY_POLL_S = 0.005  # polling interval for a free connection, well below any latency
-SLOW_LOG_FACTOR = 2.0  # calls slower than this multiple of the typical latency are logged
 LAST_CALL_FAILURE_FACTOR = 10.0  # an answer without one shard loses a tenth of its value or more
 LOW_BUDGET_FAILURE_FACTOR = 4.0  # a failure spends a call that another request needs
 MAX_REPEAT_CALLS = 2  # if two servers lose half of their answers, four calls get 15 of 16
-MAX_REASON_CHARS = 60  # of the reason of an invalid answer in the log
+MIN_WAIT_S = 0.001  # a timer may run out just before its time by the clock
 MAX_UNSENT_CALLS = 4  # refused connections per request and service
 
 
@@ -55,10 +59,6 @@
 
     A probe, for a request that is suspected to crash servers, is run by one server at most.
 
-    ``trace`` lists for the log each call, its result and its start and end in milliseconds after
-    the request's arrival. ``is_routine`` is true as long as there are only successful calls near
-    the typical latency and no retry or hedge decisions.
-
     ``_reached`` decides which servers may be called next; ``_tried`` are those that were called,
     for what they say of themselves; ``_has_lost`` says whether a connection was lost.
     """
@@ -66,14 +66,14 @@
     __slots__ = (
         "_call_runner",
         "_clock",
-        "_ended",
+        "_connection_due_s",
         "_failed_response",
         "_fingerprint",
         "_has_lost",
         "_hedging",
-        "_in_flight",
         "_is_probe",
         "_limits",
+        "_open_calls",
         "_pool",
         "_reached",
         "_request",
@@ -81,7 +81,6 @@
         "_tried",
         "_try_exclude",
         "_unsent_calls",
-        "is_routine",
         "service",
         "trace",
     )
@@ -100,10 +99,7 @@
         is_probe: bool = False,
     ) -> None:
         self.service = service
-        self.trace: list[str] = []
-        self.is_routine = True
-        self._in_flight: dict[Backend, float] = {}
-        self._ended = EndedTasks()
+        self.trace = CallTrace(request.received_s)
         self._request = request
         self._fingerprint = request_fingerprint(request)
         self._limits = limits
@@ -115,6 +111,8 @@
         self._is_probe = is_probe
         self._tried: list[Backend] = []
         self._reached = ReachedServers(request.reached_servers.get(service.name, ()))
+        self._open_calls = OpenCalls(self._reached)
+        self._connection_due_s = math.inf
         self._has_lost = False
         self._unsent_calls = 0
         self._started_s = request.received_s
@@ -162,63 +160,100 @@
         """
         self.service.retry_budget.record_request(self._clock())
         self.service.urgency.record(self._limits.priority, self._clock())
-        pending: dict[asyncio.Task, Backend] = {}
         try:
-            return await self._run(pending)
+            return await self._run()
         finally:
-            for task in pending:
-                task.cancel()
+            self._open_calls.close()
 
-    async def _run(self, pending: dict[asyncio.Task, Backend]) -> BackendResponse | Failure:
-        limits = self._limits
+    async def _run(self) -> BackendResponse | Failure:
+        limits, calls = self._limits, self._open_calls
         while True:
             now_s = self._clock()
             if now_s >= limits.hard_deadline_s:
                 return Failure(ErrorKind.DEADLINE_EXCEEDED, "no answer in time")
-            if not pending:
+            if not calls.active and not self._resume(now_s):
                 backend = self._next_backend(now_s)
                 if isinstance(backend, BackendResponse | Failure):
                     return backend
                 if backend is None:
                     await asyncio.sleep(BUSY_POLL_S)
                     continue
-                kind = CallKind.RETRY if self._reached.calls_sent else CallKind.FIRST
-                self._start_call(backend, pending, now_s, kind)
-            hedge_s = self._hedge_s(now_s) if len(pending) == 1 else limits.hard_deadline_s
-            done = await self._ended.wait(min(hedge_s, limits.hard_deadline_s) - now_s)
-            for task in done:
-                backend = pending.pop(task)
-                result = task.result()
-                if self._handle_result(result, backend):
-                    return result
-            if not done and len(pending) == 1 and self._clock() >= hedge_s:
-                self._hedge(pending, self._clock())
-
-    def _start_call(
-        self,
-        backend: Backend,
-        pending: dict[asyncio.Task, Backend],
-        now_s: float,
-        kind: CallKind,
-    ) -> None:
+                self._start_call(backend, now_s, self._next_kind())
+            hedge_s = self._hedge_s(now_s) if len(calls.active) == 1 else limits.hard_deadline_s
+            next_s = min(hedge_s, limits.hard_deadline_s)
+            if self._unsent() is not None:
+                next_s = min(next_s, max(self._connection_due_s, now_s + MIN_WAIT_S))
+            ended = await calls.wait(next_s - now_s)
+            for call in ended:
+                if self._handle_result(call):
+                    return call.result
+            if not ended:
+                self._add_call(hedge_s, self._clock())
+
+    def _start_call(self, backend: Backend, now_s: float, kind: CallKind) -> None:
         limits = self._limits
         self._tried.append(backend)
-        self._reached.record_call(backend)
         self._started_s = now_s
-        self._in_flight[backend] = now_s
-        call = self._call_runner.start(
-            self._request,
+        self._connection_due_s = now_s + SLOW_CONNECTION_S
+        self.trace.start(backend, now_s)
+        self._open_calls.start(
             backend,
-            limits.latency_key,
-            limits.hard_deadline_s - now_s,
-            fingerprint=self._fingerprint,
-            is_probe=self._is_probe,
-            follows_loss=self._has_lost,
-            is_idempotent=limits.is_idempotent,
-            kind=kind,
+            lambda may_send: self._call_runner.start(
+                self._request,
+                backend,
+                limits.latency_key,
+                limits.hard_deadline_s - now_s,
+                fingerprint=self._fingerprint,
+                is_probe=self._is_probe,
+                follows_loss=self._has_lost,
+                is_idempotent=limits.is_idempotent,
+                kind=kind,
+                may_send=may_send,
+            ),
         )
-        call.add_done_callback(self._ended.add)
-        pending[call] = backend
+        if self._pool.load_policy.is_on:
+            for doubtful in servers_to_try(self.service.backends, now_s):
+                self._call_runner.try_connection(doubtful)
+
+    def _add_call(self, hedge_s: float, now_s: float) -> None:
+        """Start a further call if one is due: a hedge only of a call that has sent the request."""
+        unsent = self._unsent()
+        if unsent is not None:
+            if now_s >= self._connection_due_s:
+                self._replace_slow_connection(unsent, now_s)
+        elif len(self._open_calls.active) == 1 and now_s >= hedge_s:
+            self._hedge(now_s)
+
+    def _unsent(self) -> Backend | None:
+        """Return a server to which the connection is not established, where that matters."""
+        return self._open_calls.unsent() if self._pool.load_policy.is_on else None
+
+    def _resume(self, now_s: float) -> bool:
+        """Return to a call that is slow to connect, and look for another server at once."""
+        self._connection_due_s = now_s
+        return self._may_call_again(now_s) and self._open_calls.resume()
+
+    def _next_kind(self) -> CallKind:
+        return CallKind.RETRY if self._reached.calls_sent else CallKind.FIRST
+
+    def _replace_slow_connection(self, slow: Backend, now_s: float) -> None:
+        """Try another server for a call that has sent nothing; the one that connects first sends.
+
+        This spends no retry budget, as only one request is sent.
+        """
+        slow.connection_doubt.record_slow(now_s)
+        self._connection_due_s = now_s + SLOW_CONNECTION_S
+        self._open_calls.set_aside(slow)
+        backend = None
+        if self._may_call_again(now_s):
+            typical_s = self._call_runner.typical_latencies.typical_s(self._limits.latency_key)
+            backend = self._choose(typical_s, now_s, is_urgent=self._is_urgent(now_s))
+        if backend is None:
+            self._open_calls.resume()
+            return
+        self.trace.note(f"{slow.record.instance_id} slow to connect")
+        SLOW_CONNECTIONS.inc()
+        self._start_call(backend, now_s, self._next_kind())
 
     def _next_backend(self, now_s: float) -> Backend | BackendResponse | Failure | None:
         """Return the next backend server, ``None`` while all are busy, or the final result."""
@@ -228,7 +263,8 @@
         backend = self._choose(typical_s, now_s, is_urgent=self._is_urgent(now_s))
         if backend is None:
             return None if self._is_busy(now_s) else self._final_result()
-        if self._reached.calls_sent and not self._acquire_retry(now_s):
+        is_paid = self._open_calls.has_unspent_right or not self._reached.calls_sent
+        if not is_paid and not self._acquire_retry(now_s):
             return self._final_result()
         return backend
 
@@ -239,8 +275,11 @@
         else:
             spent = self.service.retry_budget.spent_fraction(self._pool.limit_share, now_s)
             failure_cost_factor = LOW_BUDGET_FAILURE_FACTOR * spent
+        candidates = self._candidates()
+        if self._pool.load_policy.is_on:
+            candidates = prefer_connected(candidates, now_s, is_urgent=is_urgent)
         return self._pool.choose(
-            self._candidates(),
+            candidates,
             typical_s,
             now_s,
             failure_cost_factor,
@@ -267,15 +306,16 @@
         """Spend a retry, unless the budget is low and the answer can do without this shard."""
         budget, limit_share = self.service.retry_budget, self._pool.limit_share
         if budget.is_low(limit_share, now_s) and self._try_exclude():
-            self._add_trace("shard excluded to save the retry budget")
+            self.trace.note("shard excluded to save the retry budget")
             return False
         if not budget.acquire_retry(limit_share, now_s):
-            self._add_trace("retry budget exhausted")
+            self.trace.note("retry budget exhausted")
             return False
         return True
 
     def _may_call_again(self, now_s: float) -> bool:
-        if self._reached.total_calls >= self._max_calls or self._unsent_calls >= MAX_UNSENT_CALLS:
+        unsent_calls = self._unsent_calls + self._open_calls.set_aside_count
+        if self._reached.total_calls >= self._max_calls or unsent_calls >= MAX_UNSENT_CALLS:
             return False
         if self._is_quarantined(now_s) or (self._is_probe and self.may_have_run):
             return False
@@ -301,25 +341,27 @@
             return limits.hard_deadline_s
         return self._hedging.due_s(self._started_s, now_s)
 
-    def _hedge(self, pending: dict[asyncio.Task, Backend], now_s: float) -> None:
+    def _hedge(self, now_s: float) -> None:
         """Start a hedge, or record why it is not sent."""
         hedge = self._hedging.acquire(
             lambda typical_s: self._choose(typical_s, now_s, is_urgent=False),
             now_s,
             is_probe=self._is_probe,
             is_quarantined=self._is_quarantined(now_s),
+            is_paid=self._open_calls.has_unspent_right,
         )
         if not isinstance(hedge, UnsentReason):
-            self._add_trace("hedge")
-            self._start_call(hedge, pending, now_s, CallKind.HEDGE)
+            self.trace.note("hedge")
+            self._start_call(hedge, now_s, CallKind.HEDGE)
         elif self._hedging.record_unsent(hedge):
-            self._add_trace(f"hedge not sent: {hedge.value}")
+            self.trace.note(f"hedge not sent: {hedge.value}")
 
-    def _handle_result(self, result: CallResult, backend: Backend) -> bool:
+    def _handle_result(self, call: EndedCall) -> bool:
         """Record the result of a call and return whether it is the result of the request."""
-        self._trace_result(backend, result)
-        if proves_not_sent(result):
-            self._reached.record_not_sent(backend)
+        backend, result = call.backend, call.result
+        typical_s = self._call_runner.typical_latencies.typical_s(self._limits.latency_key)
+        self.trace.end(backend, result, self._clock(), typical_s)
+        if call.was_set_aside or proves_not_sent(result):
             self._unsent_calls += 1
             return False
         if isinstance(result, CallFailure):
@@ -338,34 +380,6 @@
         self._failed_response = result
         return result.status < 500 or not self._limits.is_idempotent
 
-    def in_flight_trace(self) -> list[str]:
-        """Return trace entries of the calls in flight."""
-        return [
-            f"{backend.record.instance_id} open {self._offset_ms(started_s)}-"
-            for backend, started_s in self._in_flight.items()
-        ]
-
-    def _add_trace(self, note: str) -> None:
-        self.is_routine = False
-        self.trace.append(note)
-
-    def _trace_result(self, backend: Backend, result: CallResult) -> None:
-        now_s = self._clock()
-        started_s = self._in_flight.pop(backend)
-        logged_above_s = SLOW_LOG_FACTOR * self._call_runner.typical_latencies.typical_s(
-            self._limits.latency_key
-        )
-        is_success = isinstance(result, BackendResponse) and result.is_success
-        self.is_routine = self.is_routine and is_success and now_s - started_s <= logged_above_s
-        times = f"{self._offset_ms(started_s)}-{self._offset_ms(now_s)}"
-        entry = f"{backend.record.instance_id} {describe_result(result)} {times}"
-        if isinstance(result, CallFailure) and result.fault is CallFault.BAD_ANSWER:
-            entry += f" ({result.reason[:MAX_REASON_CHARS]})"
-        self.trace.append(entry)
-
-    def _offset_ms(self, at_s: float) -> int:
-        return round(1000 * (at_s - self._request.received_s))
-
     def _final_result(self) -> BackendResponse | Failure:
         """Return the result if no further call is possible."""
         if self._failed_response is not None:
@@ -377,12 +391,4 @@
         if self._reached.calls_sent:
             return Failure(ErrorKind.OVERLOADED, "all backend servers refused the request")
         now_s = self._clock()
-        is_urgent = self._is_urgent(now_s)
-        if any(
-            backend.limit.is_reached(now_s, is_urgent=is_urgent)
-            for backend in self.service.backends
-        ):
-            return Failure(ErrorKind.OVERLOADED, "backend servers are at the limit that they name")
-        if self._pool.wait_s(self.service, now_s):
-            return Failure(ErrorKind.OVERLOADED, "all backend servers want a pause")
-        return Failure(ErrorKind.NO_REPLICA, "no backend server is in service")
+        return no_server_failure(self._pool, self.service, now_s, is_urgent=self._is_urgent(now_s))
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -13,6 +13,7 @@
 from fighinge.platform.headers import PlatformCodec
 from fighinge.router.accounts import key_digest
 from fighinge.router.addresses import RouterAddress
+from fighinge.router.backend_calls import CONNECT_TIMEOUT_S
 from fighinge.router.call_runner import CallRunner
 from fighinge.router.changes import BackendListed, TablePublished
 from fighinge.router.cold_limit import ColdLimits
@@ -201,7 +202,8 @@
 class ScriptedCalls:
     """Backend calls that follow a script per instance: a delay and a result for each call.
 
-    ``next_results`` replace the results of the next calls to any instance.
+    ``next_results`` replace the results of the next calls to any instance. ``connect_delays_s``
+    holds the time that connections to an instance take, if any.
     """
 
     def __init__(self) -> None:
@@ -214,6 +216,7 @@
         self.ended: set[Address] = set()
         self.is_cut_off = False
         self.checked: list[Address] = []
+        self.connect_delays_s: dict[str, float] = {}
         self.cancelled_calls: Counter[str] = Counter()
 
     def script(self, instance_id: str, *steps: tuple[float, object]) -> None:
@@ -229,10 +232,18 @@
         is_idempotent: bool,
         on_start: Callable[[], None] = lambda: None,
         on_late_response: Callable[[InterruptedResponse], None] | None = None,
+        may_send: Callable[[], bool] = lambda: True,
     ):
         """Run the next step of the instance that the request expects."""
-        on_start()
         instance_id = dict(content.headers)["X-Expect-Instance"]
+        connect_delay_s = self.connect_delays_s.get(instance_id, 0.0)
+        if connect_delay_s:
+            await asyncio.sleep(min(connect_delay_s, CONNECT_TIMEOUT_S))
+            if connect_delay_s >= CONNECT_TIMEOUT_S:
+                return CallFailure(CallFault.NOT_CONNECTED, "timed out")
+        if not may_send():
+            return CallFailure(CallFault.CONNECTION_LIMIT, "another call sends the request")
+        on_start()
         self.sent_headers.append(content.headers)
         self.sent.append((instance_id, asyncio.get_running_loop().time()))
         steps = self.scripts.get(instance_id, [(self.default_delay_s, None)])
--- a/tests/router/test_backend_calls.py
+++ b/tests/router/test_backend_calls.py
@@ -508,3 +508,17 @@
         return [result.fault for result in results], server.opened_connections, is_prompt
 
     assert _run(reply, exercise) == ([CallFault.BAD_ANSWER] * 2, 2, True)
+
+
+def test_call_that_may_not_send_leaves_its_connection_to_the_next_one():
+    """A call that connects after another one has sent the request must send nothing."""
+
+    async def exercise(calls, address, server):
+        failure = await calls.call(address, POST, 1.0, is_idempotent=False, may_send=lambda: False)
+        requests = len(server.heads)
+        await calls.call(address, GET, 1.0, is_idempotent=True, may_send=lambda: True)
+        return failure, requests, len(server.heads), calls.open_connections
+
+    failure, requests, requests_after, connections = _run(_reply_ok, exercise)
+    assert (failure.fault, requests) == (CallFault.CONNECTION_LIMIT, 0)
+    assert (requests_after, connections) == (1, 1)
--- a/tests/router/test_hedging.py
+++ b/tests/router/test_hedging.py
@@ -63,7 +63,7 @@
         return call, _count(reason) - before
 
     call, counted = run(scenario())
-    notes = [entry for entry in call.trace if entry.startswith("hedge")]
+    notes = [entry for entry in call.trace.entries if entry.startswith("hedge")]
     assert notes == [f"hedge not sent: {reason.value}"]
     assert counted == 1
     assert f"hedge not sent: {reason.value}" in call.trace_text()
@@ -79,7 +79,7 @@
                 backend.cancel_call(number, router.clock())
         call = _call(router)
         await call.run()
-        return call.trace
+        return call.trace.entries
 
     assert "hedge not sent: no time" in run(scenario())
 
