Read the slowness that backend servers state

Change: the header has three or four figures; ReportedLoad.slowness_ratio is the fourth over 100. StatedLoad keeps it with its age; no choice of a server uses it yet.

--- a/fighinge/platform/headers.py
+++ b/fighinge/platform/headers.py
@@ -55,7 +55,9 @@
 ACCOUNT_HEADERS = frozenset((AUTHORIZATION.lower(), ACCOUNT.lower()))
 STATEMENT_HEADERS = frozenset(name.lower() for name in (LEAVING, RATE_LIMIT, RETRY_AFTER))
 NO_STATEMENT = ServerStatement()
-_LOAD_PATTERN = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
+_LOAD_PATTERN = re.compile(
+    r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*(?:,\s*([0-9]{1,9})\s*)?"
+)
 _REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,200}")
 
 
@@ -142,6 +144,11 @@
         excluded = HOP_BY_HOP_HEADERS
         if "connection" in values:
             excluded = excluded | _parse_connection_options(values["connection"])
+        load_text = values.get(LOAD.lower())
+        load = _parse_load(load_text)
+        unreadable_load = ""
+        if load_text is not None and load is None:
+            unreadable_load = load_text[:MAX_UNREADABLE_CHARS] or "(empty)"
         return BackendResponse(
             status=response.status,
             headers=tuple(pair for pair in response.headers if pair[0].lower() not in excluded),
@@ -149,8 +156,9 @@
             signature=values.get(SIGNATURE.lower(), ""),
             was_not_run=NOT_EXECUTED.lower() in values or response.status == 421,
             is_other_instance=response.status == 421,
-            load=_parse_load(values.get(LOAD.lower())),
+            load=load,
             cold_left_s=_parse_ms_as_s(values.get(COLD_START_LEFT.lower())),
+            unreadable_load=unreadable_load,
         )
 
     def decode_statement(self, response: RawResponse | InterruptedResponse) -> ServerStatement:
@@ -258,6 +266,12 @@
 
 
 def _parse_load(text: str | None) -> ReportedLoad | None:
-    """Return the load from a comma-separated list of running, waiting and slots."""
+    """Return the load from a list of running, waiting, slots and, if stated, slowness in %."""
     match = _LOAD_PATTERN.fullmatch(text or "")
-    return ReportedLoad(*map(int, match.groups())) if match else None
+    if match is None:
+        return None
+    running, waiting, slots, percent = match.groups()
+    slowness_ratio = int(percent) / 100 if percent is not None else None
+    if slowness_ratio == 0:
+        return None  # no work takes no time
+    return ReportedLoad(int(running), int(waiting), int(slots), slowness_ratio)
--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -15,16 +15,17 @@
 from fighinge.router.named_limit import NamedLimit
 from fighinge.router.observed_health import ObservedHealth
 from fighinge.router.server_reports import SLOW_END_RATIO, SLOW_RATIO
+from fighinge.router.stated_load import StatedLoad
 
 if TYPE_CHECKING:
     from fighinge.router.decision_log import DecisionLog
     from fighinge.router.exchange import ServerStatement
     from fighinge.router.heard_reports import HeardReport
+    from fighinge.router.load_policy import LoadPolicy
     from fighinge.router.model import BackendRecord
     from fighinge.router.rate_share import RouterShare
     from fighinge.router.server_reports import Condition
 
-LOAD_REPORT_TTL_S = 0.25  # a reported load describes only the moment of the response
 MIN_DOWN_BACKOFF_S = 0.4  # a process restarts within about a second
 MAX_DOWN_BACKOFF_S = 2.0  # nothing announces the end of an outage of seconds; calls have to test it
 LOAD_WEIGHT = 0.3  # other routers may use the slots that appear free here
@@ -58,13 +59,12 @@
         "_is_slow",
         "_last_call_number",
         "_leaving_said_s",
-        "_load_reported_s",
         "_log",
         "_next_run_leaves_until_s",
         "_refused_until_s",
-        "_reported_load",
         "_restored_s",
         "_shed_until_s",
+        "_stated_load",
         "_unreachable_s",
         "cold_quota",
         "connection_doubt",
@@ -76,7 +76,12 @@
     )
 
     def __init__(
-        self, record: BackendRecord, log: DecisionLog, router_share: RouterShare, now_s: float
+        self,
+        record: BackendRecord,
+        log: DecisionLog,
+        router_share: RouterShare,
+        now_s: float,
+        load_policy: LoadPolicy | None = None,
     ) -> None:
         self.record = record
         self._log = log
@@ -95,8 +100,7 @@
         self._last_call_number = 0
         self._health = ObservedHealth()
         self.troubled: set[Backend] = set()  # shared by the servers that this router calls
-        self._reported_load = 0
-        self._load_reported_s = float("-inf")
+        self._stated_load = StatedLoad(log, load_policy)
         self._down_until_s = float("-inf")
         self._down_backoff_s = MIN_DOWN_BACKOFF_S
         self._shed_until_s = float("-inf")
@@ -210,7 +214,7 @@
         if now_s < self._cold_until_s:
             work_s *= COLD_FACTOR
         slots = self.record.slots
-        load = max(len(self._calls), self._current_reported_load(now_s))
+        load = max(len(self._calls), self._stated_load.requests(now_s))
         queued = max(0, load + 1 - slots)
         expected_s = work_s * (1.0 + LOAD_WEIGHT * load / slots + queued / slots)
         expected_s += self._stall_s(now_s)
@@ -274,9 +278,7 @@
         self._down_backoff_s = MIN_DOWN_BACKOFF_S
         self._down_until_s = float("-inf")
         self._consecutive_timeouts = 0
-        if result.load is not None:
-            self._reported_load = result.load.running + result.load.waiting
-            self._load_reported_s = now_s
+        self._stated_load.record(result, self.record, now_s)
         if result.cold_left_s is not None:
             self._cold_until_s = now_s + result.cold_left_s
         if result.is_other_instance:
@@ -380,9 +382,6 @@
         if is_failure:
             self.troubled.add(self)
 
-    def _current_reported_load(self, now_s: float) -> int:
-        return self._reported_load if now_s - self._load_reported_s < LOAD_REPORT_TTL_S else 0
-
     def _stall_s(self, now_s: float) -> float:
         """Return the age of the oldest call in flight once it is unusual, otherwise 0."""
         if not self._calls:
--- a/fighinge/router/exchange.py
+++ b/fighinge/router/exchange.py
@@ -75,11 +75,15 @@
 
 
 class ReportedLoad(msgspec.Struct, frozen=True):
-    """The load that a backend server reported with a response."""
+    """The load that a backend server reported with a response.
+
+    ``slowness_ratio`` is how long work takes there now in multiples of the usual, if it says so.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness_ratio: float | None = None
 
 
 class RawResponse(msgspec.Struct, frozen=True):
@@ -118,6 +122,7 @@
     ``signature`` proves that the backend server itself produced the answer. ``was_not_run`` is the
     server's guarantee that it did not run the request; ``is_other_instance`` means that another
     process listens at the address. ``cold_left_s`` is the remaining cold time, if reported.
+    ``unreadable_load`` is what it stated instead of a load.
     """
 
     status: int
@@ -128,6 +133,7 @@
     is_other_instance: bool
     load: ReportedLoad | None
     cold_left_s: float | None
+    unreadable_load: str = ""
 
     @property
     def is_success(self) -> bool:
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -47,6 +47,9 @@
     "fighinge_slow_connections",
     "Calls that were slow to connect and for which another server was tried",
 )
+UNREADABLE_LOADS = Counter(
+    "fighinge_unreadable_loads", "Statements of backend servers' load that cannot be read"
+)
 CUT_OFF = Gauge("fighinge_cut_off", "Whether this router reaches no backend server")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 STORE_ERA = Gauge("fighinge_store_era", "How often the store has come back from an older copy")
