Leave out different shards while several lack capacity

Cause: while three shards have one slow server each, which serves 29 of 60 calls a second, all queries leave out the same shard, the slowest, and the other two answer late.

Change: ScarceShards keeps, for each shard, the backlog of this router's calls against its share of what the servers in service work off. While load management is on, queries leave out the shards whose next call ends last, which differ from query to query; kinds that may lack all of them call none with a backlog; what cannot be in time is refused before a call, with times to return that are apart. A shard without a reachable server is left out and probed every 0.3 s by each router. With load management off, the choice is as before.

--- a/fighinge/router/gather.py
+++ b/fighinge/router/gather.py
@@ -13,7 +13,9 @@
 from fighinge.router.ended_tasks import EndedTasks
 from fighinge.router.exchange import BackendResponse, CallerRequest, MergedAnswer
 from fighinge.router.hedge_delay import hedge_delay_s
+from fighinge.router.scarce_shards import QueryNeeds
 from fighinge.router.service_call import CallLimits, ServiceCall
+from fighinge.router.shard_loads import shard_load
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -39,6 +41,8 @@
         "_needs_canary",
         "_pending",
         "_pool",
+        "_probed_shards",
+        "_refused_wait_s",
         "_request",
         "_responses",
         "_rule",
@@ -77,6 +81,8 @@
         )
         self._responses: list[BackendResponse] = []
         self._excluded: frozenset[str] = frozenset()
+        self._probed_shards: frozenset[str] = frozenset()
+        self._refused_wait_s: float | None = None
         self._pending: set[asyncio.Task] = set()
         self._ended = EndedTasks()
         self.calls: list[ServiceCall] = []
@@ -123,9 +129,12 @@
                     "backend servers of too many shards want a pause or are at their limit",
                 )
             return Failure(ErrorKind.NO_REPLICA, "too few shards have a backend server in service")
-        self.skipped_shards = self._late_shards(shards)
-        self._excluded = frozenset(self.skipped_shards)
-        shards = [shard for shard in shards if shard.name not in self._excluded]
+        if not self._plan_shards(shards):
+            return Failure(
+                ErrorKind.OVERLOADED, "too many shards lack the capacity to answer in time"
+            )
+        skipped = frozenset(self.skipped_shards)
+        shards = [shard for shard in shards if shard.name not in skipped]
         if self._suspect_services:
             failure = await self._probe(shards)
             if failure is not None:
@@ -162,7 +171,7 @@
             self._pool,
             self._call_runner,
             self._clock,
-            may_hedge or self._may_hedge,
+            may_hedge or partial(self._may_hedge, shard.name),
             partial(self._try_exclude, shard.name),
             is_probe=is_probe,
         )
@@ -219,6 +228,8 @@
 
         :returns: seconds, as :meth:`~fighinge.router.pool.BackendPool.wait_s`
         """
+        if self._refused_wait_s is not None:
+            return self._refused_wait_s
         times_s = (
             self._pool.wait_s(shard, now_s, is_urgent=self._is_urgent(shard, now_s))
             for shard in map(self._pool.service, self._gather.shards)
@@ -246,6 +257,30 @@
         else:
             self._excluded = self._excluded | {task.get_name()}
 
+    def _plan_shards(self, shards: list[Service]) -> bool:
+        """Decide which shards to skip and to probe, and return whether the query is admitted."""
+        if not self._pool.load_policy.is_on:
+            self.skipped_shards = self._late_shards(shards)
+            self._excluded = frozenset(self.skipped_shards)
+            return True
+        now_s = self._clock()
+        typical_s = self._call_runner.typical_latencies.typical_s(self._limits.latency_key)
+        plan = self._pool.scarce_shards.plan(
+            [shard_load(self._pool, shard, typical_s, now_s) for shard in shards],
+            QueryNeeds(
+                typical_s,
+                len(shards) - self._rule.required,
+                self._limits.soft_deadline_s - now_s,
+                self._limits.hard_deadline_s - now_s,
+            ),
+            now_s,
+        )
+        self._refused_wait_s = plan.refused_wait_s
+        self._probed_shards = frozenset(plan.probed)
+        self._excluded = frozenset(plan.left_out)
+        self.skipped_shards = [name for name in plan.left_out if name not in self._probed_shards]
+        return plan.refused_wait_s is None
+
     def _late_shards(self, shards: list[Service]) -> list[str]:
         """Return the shards to skip, since they would answer after the soft deadline.
 
@@ -285,7 +320,9 @@
     def _is_urgent(self, shard: Service, now_s: float) -> bool:
         return shard.urgency.is_most_urgent(self._limits.priority, now_s)
 
-    def _may_hedge(self) -> bool:
+    def _may_hedge(self, service_name: str) -> bool:
+        if service_name in self._probed_shards:
+            return False
         return len(self._pending) <= max(2, MAX_HEDGE_FRACTION * len(self._gather.shards))
 
     def _try_exclude(self, service_name: str) -> bool:
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -9,6 +9,7 @@
 from fighinge.router.load_policy import LoadPolicy
 from fighinge.router.rate_share import RouterShare
 from fighinge.router.retry_budget import RetryBudget, RetryBudgetLimits
+from fighinge.router.scarce_shards import ScarceShards
 from fighinge.router.urgency import Urgency
 
 if TYPE_CHECKING:
@@ -68,6 +69,7 @@
         "doubtful",
         "is_excluded",
         "load_policy",
+        "scarce_shards",
     )
 
     def __init__(
@@ -80,6 +82,7 @@
     ) -> None:
         self._view = view
         self.load_policy = LoadPolicy(view.log)
+        self.scarce_shards = ScarceShards()
         self._own_address = own_address.host
         self._zone = own_address.zone
         self._budget_limits = budget_limits
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -316,8 +316,9 @@
         links_seed: int = 2,
         uses_accounts: bool = False,
         quota_gate: QuotaGate | None = None,
+        clock: Callable[[], float] | None = None,
     ) -> None:
-        self.clock = asyncio.get_running_loop().time
+        self.clock = clock or asyncio.get_running_loop().time
         self.log = MemoryLog()
         self.view = View(self.log)
         self.calls = ScriptedCalls()
