Count the shards that queries leave out and the queries refused

Cause: no metric told how often queries leave out, probe or are refused for shards without capacity.

Change: fighinge_shard_decisions counts them by kind. A test has the servers of one shard and then of two become unreachable while one may be missing.

--- a/fighinge/router/gather.py
+++ b/fighinge/router/gather.py
@@ -13,6 +13,7 @@
 from fighinge.router.ended_tasks import EndedTasks
 from fighinge.router.exchange import BackendResponse, CallerRequest, MergedAnswer
 from fighinge.router.hedge_delay import hedge_delay_s
+from fighinge.router.metrics import observe_shard_decisions
 from fighinge.router.scarce_shards import QueryNeeds
 from fighinge.router.service_call import CallLimits, ServiceCall
 from fighinge.router.shard_loads import shard_load
@@ -279,7 +280,9 @@
         self._probed_shards = frozenset(plan.probed)
         self._excluded = frozenset(plan.left_out)
         self.skipped_shards = [name for name in plan.left_out if name not in self._probed_shards]
-        return plan.refused_wait_s is None
+        is_refused = plan.refused_wait_s is not None
+        observe_shard_decisions(len(self.skipped_shards), len(plan.probed), is_refused=is_refused)
+        return not is_refused
 
     def _late_shards(self, shards: list[Service]) -> list[str]:
         """Return the shards to skip, since they would answer after the soft deadline.
--- a/fighinge/router/metrics.py
+++ b/fighinge/router/metrics.py
@@ -43,6 +43,11 @@
     "Reports of backend servers between routers, and probes of servers in doubt",
     ("kind",),
 )
+SHARD_DECISIONS = Counter(
+    "fighinge_shard_decisions",
+    "Shards that queries left out or probed, and queries refused, since shards lack capacity",
+    ("kind",),
+)
 CUT_OFF = Gauge("fighinge_cut_off", "Whether this router reaches no backend server")
 VERSION = Gauge("fighinge_configuration_version", "Configuration version in force")
 STORE_ERA = Gauge("fighinge_store_era", "How often the store has come back from an older copy")
@@ -102,3 +107,10 @@
         """Count a request."""
         label = account if account in self._labels else "other"
         QUOTA_REQUESTS.labels(label, "admitted" if is_admitted else "refused").inc()
+
+
+def observe_shard_decisions(left_out: int, probed: int, *, is_refused: bool) -> None:
+    """Count the shards that a query leaves out or probes, or that it is refused."""
+    for kind, count in (("left out", left_out), ("probed", probed), ("refused", is_refused)):
+        if count:
+            SHARD_DECISIONS.labels(kind).inc(count)
--- a/tests/router/test_gather.py
+++ b/tests/router/test_gather.py
@@ -12,6 +12,7 @@
 from fighinge.router.crash_suspects import request_fingerprint
 from fighinge.router.exchange import ServerStatement
 from fighinge.router.gather import merge_records
+from fighinge.router.metrics import SHARD_DECISIONS
 from tests.router.builders import (
     LOST,
     REFUSED,
@@ -323,3 +324,33 @@
     answered, sent = _suspect_gather(refusal(), refusal(), refusal())
     assert dict(answered.headers)["X-Missing-Parts"] == "1"
     assert len({name[:2] for name, _ in sent}) == SHARDS
+
+
+def test_unreachable_shards_are_left_out_or_the_query_is_refused_and_both_are_counted():
+    """Guards against queries that wait for shards without a reachable server, unseen by operators.
+
+    One of four shards may be missing. All servers of one, then two of them have been unreachable.
+    """
+
+    async def send():
+        router = RouterFixture()
+        plan = gather_route(SHARDS, priority=0)
+        router.publish(table(plan), *shard_backend_records(SHARDS))
+        router.set_typical_latency("all")
+        kinds = ("left out", "probed", "refused")
+        before = [SHARD_DECISIONS.labels(kind)._value.get() for kind in kinds]
+        answers = []
+        for shard in range(2):
+            for replica, backend in enumerate(router.pool.service(f"s{shard}").backends):
+                router.calls.script(f"s{shard}-{replica}", (0.4, REFUSED))
+                backend.record_refused_connection(router.clock())
+            await asyncio.sleep(0.5)
+            answers += await asyncio.gather(*(router.send("/all/q") for _ in range(3)))
+        after = [SHARD_DECISIONS.labels(kind)._value.get() for kind in kinds]
+        return answers, [new - old for old, new in zip(before, after, strict=True)]
+
+    answers, (left_out, probed, refused) = run(send())
+    assert [answered.status for answered in answers[:3]] == [200] * 3
+    assert [answered.is_not_run for answered in answers[3:]] == [False, True, True]
+    assert (left_out, refused) == (2, 2)
+    assert 1 <= probed <= 2
