Bound the levels of owners that follow one another

Cause: a router that has just started does not know how often the owner of an account has changed, so that each of four routers that join in a row and take an account over started with E/4, while the earlier owner still granted. The test of the start levels did not show it, nor did that of a pause.

Change: a router that asks tells how often the owner has changed; a new owner's bucket fills from 0.5 s on. The owner's side is a module of its own. The test of a paused owner now checks what it grants (it passed without the pause detection), and a test has four joins in a row.

--- a/fighinge/router/quota.py
+++ b/fighinge/router/quota.py
@@ -102,7 +102,10 @@
     __slots__ = ("_level", "_limits", "_next_return_s", "_updated_s")
 
     def __init__(self, limits: QuotaLimits, now_s: float, level: float | None = None) -> None:
-        """Initialise a bucket, which is full without a level."""
+        """Initialise a bucket, which is full without a level.
+
+        :param now_s: time from which it fills
+        """
         self._limits = limits
         self._level = self._capacity if level is None else min(level, self._capacity)
         self._updated_s = now_s
@@ -119,6 +122,10 @@
             self._limits = limits
             self._level = min(self._level, self._capacity)
 
+    def lower(self, amount: float) -> None:
+        """Take back a part of the level with which the bucket has started."""
+        self._level -= amount
+
     def take(self, wanted: int, ahead: int, now_s: float) -> Decision:
         """Grant as many requests as there is room for.
 
@@ -126,7 +133,7 @@
         :param ahead: number of further requests that are expected within the lease
         """
         self._refill(now_s)
-        granted = min(wanted, int(self._level))
+        granted = max(0, min(wanted, int(self._level)))
         self._level -= granted
         if granted < wanted:
             wait_s, spacing_s = self._reserve_returns(wanted - granted, now_s)
@@ -139,7 +146,7 @@
     def _refill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._updated_s)
         self._level = min(self._capacity, self._level + elapsed_s * self._limits.rate_per_s)
-        self._updated_s = now_s
+        self._updated_s = max(self._updated_s, now_s)
 
     def _reserve_returns(self, count: int, now_s: float) -> tuple[float, float]:
         """Return when the first of the refused requests has room, and the time between them.
--- a/fighinge/router/quota_owners.py
+++ b/fighinge/router/quota_owners.py
@@ -21,9 +21,11 @@
 # before it counts the others, all routers that start together would own all accounts.
 OWN_SETTLED_S = 2.2
 ADD_INTERVAL_S = 0.5  # routers that start together become owners in one change
+DISAGREEMENT_S = 0.5  # an earlier owner may still grant until it knows of a new router
 DETECTION_S = 6.0  # the longest time until all routers know that a router has failed
 GROWTH_DELAY_S = 3.0  # after a partition, the owners of both sides have met within this time
 MAJORITY = 0.5
+LEVEL_RATIO = 0.5  # of the levels of two new owners in a window, one after the other
 
 
 class RouterSet(msgspec.Struct, frozen=True):
@@ -97,25 +99,33 @@
             return self.owner(account) == self._own_host
         return _owner(account, self.candidates | {self._own_host}) == self._own_host
 
-    def start_level(self, account: str, limits: QuotaLimits, now_s: float) -> float | None:
-        """Return the level of a new bucket, ``None`` for a full one.
-
-        An earlier owner may have granted the whole burst. Each further owner in a window starts
-        with half the level, so that the levels of any number of new owners have a bounded sum.
-        """
-        if self._own_host not in self.candidates:
-            return limits.takeover_level
+    def takeovers(self, account: str, window_s: float, now_s: float) -> tuple[int, float]:
+        """Return how often the owner of an account has changed in a window, and when last."""
         previous: str | None = None
-        takeovers_s: list[float] = []
+        count, last_s = 0, now_s
         for changed_s, candidates in self._changes:
             owner = _owner(account, candidates)
-            if owner not in (previous, None) and now_s - changed_s < limits.window_s:
-                takeovers_s.append(changed_s)
+            if owner not in (previous, None) and now_s - changed_s < window_s:
+                count, last_s = count + 1, changed_s
             previous = owner
-        if not takeovers_s:
-            return None
-        earned = (now_s - takeovers_s[-1]) * limits.rate_per_s
-        return limits.takeover_level * 0.5 ** (len(takeovers_s) - 1) + earned
+        return count, last_s
+
+    def takeovers_here(self, account: str, asked: int, window_s: float, now_s: float) -> int:
+        """Return the changes of an account's owner for the start level of a new bucket.
+
+        :param asked: changes that the asking router knows, which may have run for longer
+        """
+        count, _ = self.takeovers(account, window_s, now_s)
+        if self._own_host not in self.candidates:
+            count = max(1, count)
+        return max(count, asked) if count else 0
+
+    def earns_from_s(self, account: str, window_s: float, now_s: float) -> float:
+        """Return when the bucket of a new owner begins to fill."""
+        moved_s = now_s
+        if self._own_host in self.candidates:
+            _, moved_s = self.takeovers(account, window_s, now_s)
+        return moved_s + DISAGREEMENT_S
 
     def scale(self, limits: QuotaLimits, now_s: float) -> float:
         """Return the part of the quota that an owner among these routers may issue.
@@ -150,3 +160,12 @@
 
 def _owner(account: str, candidates: frozenset[str]) -> str | None:
     return max(candidates, key=lambda host: (rendezvous_weight(host, account), host), default=None)
+
+
+def start_level(limits: QuotaLimits, takeovers: int) -> float:
+    """Return the level with which an owner starts after some changes of owners in a window.
+
+    An earlier owner may have granted the whole burst. Each further owner starts with half of the
+    level, so that the levels of any number of new owners have a bounded sum.
+    """
+    return limits.takeover_level * LEVEL_RATIO ** (takeovers - 1)
--- a/fighinge/router/shared_quota.py
+++ b/fighinge/router/shared_quota.py
@@ -12,14 +12,8 @@
 import msgspec
 
 from fighinge.router.metrics import QUOTA_TIMEOUTS, QuotaMetrics
-from fighinge.router.quota import (
-    Decision,
-    Lease,
-    LocalAllowance,
-    QuotaBounds,
-    QuotaLimits,
-    TokenBucket,
-)
+from fighinge.router.owned_quotas import IDLE_S, OwnedQuotas, QuotaGrant, QuotaRequest
+from fighinge.router.quota import Lease, LocalAllowance, QuotaBounds, QuotaLimits
 from fighinge.router.quota_owners import QuotaOwners
 
 if TYPE_CHECKING:
@@ -35,32 +29,9 @@
 RESEND_S = 0.01  # five times the usual round trip
 TIMEOUT_S = 0.025  # a caller waits no longer for an owner
 SILENCE_S = 0.1  # how often an owner that does not answer is asked again, without waiting for it
-IDLE_S = 10.0  # twice the window; the state of an account without requests is then of no use
-PAUSE_S = 1.0  # ten times the interval of updates; peers suspect a router after about this time
 MIN_LOG_INTERVAL_S = 0.1  # between refusals of an account; each request has its own line as well
 
 
-class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag="quota-request"):
-    """Asks the owner of an account for grants; one that is sent again has the same number."""
-
-    number: int
-    account: str
-    wanted: int
-    ahead: int
-
-
-class QuotaGrant(msgspec.Struct, frozen=True, array_like=True, tag="quota-grant"):
-    """The decision of an owner.
-
-    Without one, the sender does not own the account; ``owner`` is the router that does, if known.
-    """
-
-    number: int
-    account: str
-    decision: Decision | None
-    owner: str = ""
-
-
 class _Ask(msgspec.Struct):
     """A request to an owner in flight, with the callers' requests that wait for it."""
 
@@ -75,11 +46,24 @@
 class _AccountState:
     """What this router knows of an account whose requests it receives."""
 
-    __slots__ = ("account", "allowance", "ask", "lease", "logged_s", "owner", "used_s", "waiting")
+    __slots__ = (
+        "account",
+        "allowance",
+        "ask",
+        "lease",
+        "logged_s",
+        "moved_s",
+        "owner",
+        "takeovers",
+        "used_s",
+        "waiting",
+    )
 
     def __init__(self, account: ClientAccount, owner: str | None, now_s: float) -> None:
         self.account = account
         self.owner = owner
+        self.takeovers = 0
+        self.moved_s = now_s
         self.used_s = now_s
         self.logged_s = float("-inf")
         self.lease = Lease(now_s)
@@ -88,17 +72,6 @@
         self.ask: _Ask | None = None
 
 
-class _OwnedBucket:
-    """The bucket of an account that this router owns, and the last answer to each router."""
-
-    __slots__ = ("answers", "bucket", "used_s")
-
-    def __init__(self, bucket: TokenBucket) -> None:
-        self.bucket = bucket
-        self.answers: dict[str, QuotaGrant] = {}
-        self.used_s = float("-inf")
-
-
 class SharedQuota:
     """A :class:`QuotaGate` over all routers, by grants of the router that owns an account."""
 
@@ -106,18 +79,17 @@
         "_accounts",
         "_applied",
         "_bounds",
-        "_buckets",
         "_channel",
         "_clock",
         "_log",
         "_metrics",
         "_number",
         "_own_host",
+        "_owned",
         "_owners",
         "_share",
         "_silent",
         "_states",
-        "_updated_s",
     )
 
     def __init__(
@@ -142,10 +114,9 @@
         self._applied: Iterable[ClientAccount] = ()
         self._accounts: dict[str, ClientAccount] = {}
         self._states: dict[str, _AccountState] = {}
-        self._buckets: dict[str, _OwnedBucket] = {}
+        self._owned = OwnedQuotas(bounds, own_host, owners, clock())
         self._silent: dict[str, float] = {}
         self._share = 0.0
-        self._updated_s = clock()
         channel.handle(QuotaRequest, self._handle_request)
         channel.handle(QuotaGrant, self._handle_grant)
 
@@ -174,13 +145,11 @@
             if account is not None and account != state.account:
                 state.account = account
                 state.lease.clear()
-        for name, owned in self._buckets.items():
-            if name in self._accounts:
-                owned.bucket.set_limits(self._owned_limits(name, now_s), now_s)
+        self._owned.set_accounts(self._accounts, now_s)
 
     def update(self, routers: RouterSet, now_s: float) -> None:
         """Apply the present routers, and forget accounts without requests."""
-        self._detect_pause(now_s)
+        self._owned.update(now_s)
         self._share = routers.limit_share
         if self._owners.update(routers, now_s):
             self._apply_owners(now_s)
@@ -189,16 +158,6 @@
             for name, state in self._states.items()
             if now_s - state.used_s < IDLE_S or state.ask is not None
         }
-        self._buckets = {
-            name: owned for name, owned in self._buckets.items() if now_s - owned.used_s < IDLE_S
-        }
-
-    def _detect_pause(self, now_s: float) -> None:
-        """Start anew after a pause, in which other routers may have owned the accounts."""
-        if now_s - self._updated_s > PAUSE_S:
-            self._owners.record_pause(now_s)
-            self._buckets.clear()
-        self._updated_s = now_s
 
     async def acquire(
         self, account: ClientAccount, request: CallerRequest, now_s: float
@@ -209,7 +168,7 @@
         state = self._state(account, now_s)
         state.lease.record_arrival(now_s)
         if state.owner == self._own_host:
-            decision = self._decide(account.name, 1, 0, now_s)
+            decision = self._owned.decide(account.name, 1, 0, now_s)
             wait_s = None if decision.granted else decision.wait_s
             return self._finish(state, wait_s, "owner", decision.level)
         if state.lease.use(now_s):
@@ -227,9 +186,16 @@
         if state is None:
             owner = self._owners.owner(account.name)
             state = self._states[account.name] = _AccountState(account, owner, now_s)
+            self._set_owner(state, owner, now_s)
         state.used_s = now_s
         return state
 
+    def _set_owner(self, state: _AccountState, owner: str | None, now_s: float) -> None:
+        state.owner = owner
+        state.takeovers, state.moved_s = self._owners.takeovers(
+            state.account.name, self._bounds.window_s, now_s
+        )
+
     def _ask(self, state: _AccountState, now_s: float) -> None:
         """Ask the owner for the requests that wait."""
         self._number += 1
@@ -243,7 +209,8 @@
         ask = state.ask
         limits = QuotaLimits.from_account(state.account, self._bounds)
         ahead = state.lease.expected(limits.lease_s)
-        message = QuotaRequest(ask.number, state.account.name, len(ask.waiting), ahead)
+        takeovers = state.takeovers if ask.sent_s - state.moved_s < limits.window_s else 0
+        message = QuotaRequest(ask.number, state.account.name, len(ask.waiting), ahead, takeovers)
         self._channel.send(ask.owner, message)
         if ask.timer is not None:
             ask.timer.cancel()
@@ -323,38 +290,7 @@
 
     def _handle_request(self, message: QuotaRequest, host: str) -> None:
         """Answer a router that takes this one for the owner of an account."""
-        self._channel.send(host, self._answer(message, host))
-
-    def _answer(self, message: QuotaRequest, host: str) -> QuotaGrant:
-        name = message.account
-        if not self._owners.owns(name, self._clock()) or name not in self._accounts:
-            owner = self._owners.owner(name)
-            hint = owner if owner is not None and owner != self._own_host else ""
-            return QuotaGrant(message.number, name, None, hint)
-        owned = self._buckets.get(name)
-        answer = owned.answers.get(host) if owned is not None else None
-        if answer is not None and answer.number == message.number:
-            return answer
-        decision = self._decide(name, message.wanted, message.ahead, self._clock())
-        answer = QuotaGrant(message.number, name, decision)
-        self._buckets[name].answers[host] = answer
-        return answer
-
-    def _decide(self, name: str, wanted: int, ahead: int, now_s: float) -> Decision:
-        """Take grants from the bucket of an account that this router owns."""
-        self._detect_pause(now_s)
-        limits = self._owned_limits(name, now_s)
-        owned = self._buckets.get(name)
-        if owned is None:
-            level = self._owners.start_level(name, limits, now_s)
-            owned = self._buckets[name] = _OwnedBucket(TokenBucket(limits, now_s, level))
-        owned.used_s = now_s
-        owned.bucket.set_limits(limits, now_s)
-        return owned.bucket.take(wanted, ahead, now_s)
-
-    def _owned_limits(self, name: str, now_s: float) -> QuotaLimits:
-        limits = QuotaLimits.from_account(self._accounts[name], self._bounds)
-        return limits.scaled(self._owners.scale(limits, now_s))
+        self._channel.send(host, self._owned.answer(message, host, self._clock()))
 
     def _apply_owners(self, now_s: float) -> None:
         """Choose owners anew, and drop the buckets of accounts that others own now."""
@@ -362,10 +298,8 @@
         for name, state in self._states.items():
             owner = self._owners.owner(name)
             moved += owner != state.owner
-            state.owner = owner
-        self._buckets = {
-            name: owned for name, owned in self._buckets.items() if self._owners.owns(name, now_s)
-        }
+            self._set_owner(state, owner, now_s)
+        self._owned.drop_moved(now_s)
         self._silent = {
             host: retry_s
             for host, retry_s in self._silent.items()
@@ -377,7 +311,7 @@
             "quota owners changed",
             routers=len(self._owners.candidates),
             moved=moved,
-            owned=len(self._buckets),
+            owned=len(self._owned),
         )
 
     def _finish(
--- a/tests/router/test_quota.py
+++ b/tests/router/test_quota.py
@@ -7,6 +7,9 @@
 
 import pytest
 
+from fighinge.ownership import rendezvous_weight
+from fighinge.router.owned_quotas import QuotaRequest
+from fighinge.router.quota import QuotaLimits
 from tests.router.quota_fleet import BOUNDS, QuotaFleet, account, bound
 from tests.virtual_time import run
 
@@ -235,19 +238,46 @@
 
 
 def test_owner_that_was_paused_does_not_grant_a_second_burst():
+    """Guards against a bucket that fills in a pause, in which another router owns the account."""
+
     async def work(fleet):
-        owner = fleet.owner("desk")
-        load = asyncio.create_task(fleet.load("desk", 80.0, 15.0))
-        await asyncio.sleep(2.0)
-        fleet.network.silent.add(owner)
-        paused = fleet.routers.pop(owner)
+        gate = fleet.routers[fleet.owner("desk")].gate
+        limits = QuotaLimits.from_account(DESK, BOUNDS)
+        asked = QuotaRequest(1, "desk", 100, 0)
+        assert gate._owned.answer(asked, "10.0.0.9", fleet.now_s).decision.granted >= 11
+        del fleet.routers[gate._own_host]  # no updates
         await asyncio.sleep(4.0)
-        fleet.network.silent.clear()
-        fleet.routers[owner] = paused
+        asked = QuotaRequest(2, "desk", 100, 0)
+        assert (
+            gate._owned.answer(asked, "10.0.0.9", fleet.now_s).decision.granted
+            <= limits.takeover_level
+        )
+
+    _play(work, DESK)
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_bound_holds_while_the_owner_changes_again_and_again(size):
+    """Guards against new owners that start with a full bucket each."""
+    desk = account("desk", *size)
+
+    def weight(host):
+        return rendezvous_weight(host, "desk")
+
+    async def work(fleet):
+        load = asyncio.create_task(fleet.load("desk", desk.rate_per_s * 5.0, 12.0))
+        await asyncio.sleep(2.0)
+        heavier = [f"10.0.1.{n}" for n in range(250) if weight(f"10.0.1.{n}") > weight(owner)]
+        for host in sorted(heavier, key=weight)[:4]:
+            await fleet.start_router(host)
+            await asyncio.sleep(0.8)
         await load
+        assert weight(fleet.owner("desk")) > weight(owner)
 
-    fleet = _play(work, DESK)
-    assert fleet.max_window("desk") <= bound(DESK)
+    owner = max((f"10.0.0.{n + 1}" for n in range(6)), key=weight)
+    for seed in range(2):
+        fleet = _play(work, desk, seed=seed)
+        assert fleet.max_window("desk") <= bound(desk), f"seed {seed}"
 
 
 def test_lowered_limit_binds_after_a_window():
--- a/tests/router/test_quota_messages.py
+++ b/tests/router/test_quota_messages.py
@@ -9,9 +9,15 @@
 
 from fighinge.ownership import rendezvous_weight
 from fighinge.router.metrics import MAX_ACCOUNT_LABELS, QUOTA_REQUESTS, QuotaMetrics
+from fighinge.router.owned_quotas import QuotaGrant, QuotaRequest
 from fighinge.router.quota import Decision, Lease, LocalAllowance, QuotaLimits, TokenBucket
-from fighinge.router.quota_owners import GROWTH_DELAY_S, QuotaOwners, RouterSet
-from fighinge.router.shared_quota import QuotaGrant, QuotaRequest
+from fighinge.router.quota_owners import (
+    GROWTH_DELAY_S,
+    LEVEL_RATIO,
+    QuotaOwners,
+    RouterSet,
+    start_level,
+)
 from tests.router.quota_fleet import BOUNDS, QuotaFleet, account
 from tests.virtual_time import run
 
@@ -94,29 +100,30 @@
         for name in map(str, range(1000))
         if all(rendezvous_weight(host, name) > rendezvous_weight(OWN, name) for host in others)
     )
-    assert owners.start_level(name, LIMITS, 20.0) is None
+    assert owners.takeovers_here(name, 3, 5.0, 20.0) == 0
     alive, levels = set(HOSTS), []
     for number in range(5):
         at_s = 20.0 + number / 10
         alive.remove(owners.owner(name))
         owners.update(RouterSet(frozenset(alive), 6, 1 / 6), at_s)
-        levels.append(owners.start_level(name, LIMITS, at_s))
+        count = owners.takeovers_here(name, 0, 5.0, at_s)
+        levels.append(start_level(LIMITS, count))
     assert owners.owner(name) == OWN
     assert levels[0] == LIMITS.takeover_level
-    assert sum(levels) <= 2 * LIMITS.takeover_level
+    assert sum(levels) <= LIMITS.takeover_level / (1 - LEVEL_RATIO)
 
 
 def test_account_that_has_not_moved_keeps_its_whole_burst():
     owners = _owners((0.0, HOSTS), until_s=20.0)
     gone = next(host for host in HOSTS if host != owners.owner("desk"))
     owners.update(RouterSet(HOSTS - {gone}, 6, 1 / 6), 20.1)
-    assert owners.start_level("desk", LIMITS, 20.1) is None
+    assert owners.takeovers_here("desk", 0, 5.0, 20.1) == 0
 
 
 def test_owner_that_was_paused_starts_like_a_new_one():
     owners = _owners((0.0, HOSTS), until_s=20.0)
     owners.record_pause(20.0)
-    assert owners.start_level("desk", LIMITS, 20.0) == LIMITS.takeover_level
+    assert owners.takeovers_here("desk", 0, 5.0, 20.0) == 1
 
 
 @pytest.mark.parametrize("reached", range(1, 7))
@@ -150,7 +157,7 @@
     """Guards against a change of fields that an older router drops."""
     encode = msgspec.msgpack.encode
     asked = QuotaRequest(7, "desk", 2, 3)
-    assert msgspec.msgpack.decode(encode(asked)) == ["quota-request", 7, "desk", 2, 3]
+    assert msgspec.msgpack.decode(encode(asked)) == ["quota-request", 7, "desk", 2, 3, 0]
     granted = QuotaGrant(7, "desk", Decision(1, 0, 0.5, 0.25, 0.1))
     expected = ["quota-grant", 7, "desk", [1, 0, 0.5, 0.25, 0.1], ""]
     assert msgspec.msgpack.decode(encode(granted)) == expected
@@ -165,10 +172,10 @@
         fleet = QuotaFleet(6, account())
         await fleet.start()
         gate = fleet.routers[fleet.owner("desk")].gate
-        first = gate._answer(QuotaRequest(1, "desk", 5, 0), "10.0.0.9")
-        assert gate._answer(QuotaRequest(1, "desk", 5, 0), "10.0.0.9") == first
+        first = gate._owned.answer(QuotaRequest(1, "desk", 5, 0), "10.0.0.9", fleet.now_s)
+        assert gate._owned.answer(QuotaRequest(1, "desk", 5, 0), "10.0.0.9", fleet.now_s) == first
         assert first.decision.granted == 5
-        rest = gate._answer(QuotaRequest(2, "desk", 100, 0), "10.0.0.9")
+        rest = gate._owned.answer(QuotaRequest(2, "desk", 100, 0), "10.0.0.9", fleet.now_s)
         assert 5 + rest.decision.granted >= 11
 
     run(check())
@@ -180,7 +187,9 @@
         await fleet.start()
         owner = fleet.owner("desk")
         other = next(host for host in fleet.hosts if host != owner)
-        answer = fleet.routers[other].gate._answer(QuotaRequest(1, "desk", 1, 0), "10.0.0.9")
+        answer = fleet.routers[other].gate._owned.answer(
+            QuotaRequest(1, "desk", 1, 0), "10.0.0.9", fleet.now_s
+        )
         assert (answer.decision, answer.owner) == (None, owner)
 
     run(check())
@@ -195,7 +204,7 @@
             assert await fleet.ask(name, fleet.hosts[0]) is None
         await asyncio.sleep(11.0)
         for router in fleet.routers.values():
-            assert (router.gate._states, router.gate._buckets) == ({}, {})
+            assert (router.gate._states, len(router.gate._owned)) == ({}, 0)
 
     run(check())
 
