--- a/tests/router/test_quota_messages.py
+++ b/tests/router/test_quota_messages.py
@@ -239,3 +239,22 @@
         if sample.labels["account"].startswith("metric-")
     }
     assert labels == {f"metric-{n}" for n in range(30, MAX_ACCOUNT_LABELS + 30)}
+
+
+@pytest.mark.parametrize("counts", [(3,), (0, 3)])
+def test_new_owner_heeds_how_often_the_asking_routers_saw_the_owner_change(counts):
+    """Guards against routers that join in a row and each start with the whole level."""
+
+    async def check():
+        fleet = QuotaFleet(1, account())
+        await fleet.start_router(fleet.hosts[0])
+        owned = fleet.routers[fleet.hosts[0]].gate._owned
+        await asyncio.sleep(2.0)  # asked before it counts itself
+        owned.set_accounts(fleet.accounts, fleet.now_s)
+        owned._owners.update(RouterSet(frozenset(fleet.hosts), 1, 1.0), fleet.now_s)
+        for number, count in enumerate(counts):
+            asked = QuotaRequest(number, "desk", 0, 0, count)
+            level = owned.answer(asked, "10.0.0.9", fleet.now_s).decision.level
+        assert level == start_level(LIMITS, 3)
+
+    run(check())
