Drop the keys of callers also while a configuration names no account

Found by review of the accounts: with the setting for accounts and a configuration without any, the key reached backend servers.

--- a/fighinge/router/routing.py
+++ b/fighinge/router/routing.py
@@ -23,18 +23,18 @@
     :param uses_accounts: whether the configuration names client accounts
     """
 
-    __slots__ = ("_uses_accounts", "_view")
+    __slots__ = ("_view", "uses_accounts")
 
     def __init__(self, view: View, *, uses_accounts: bool = False) -> None:
         self._view = view
-        self._uses_accounts = uses_accounts
+        self.uses_accounts = uses_accounts
 
     def find_route(self, request: CallerRequest) -> Route | Failure:
         """Return the route of a request, or why there is none."""
         table = self._view.table
         if table is None:
             return Failure(ErrorKind.NOT_READY, "no configuration is known yet")
-        if self._uses_accounts and table.accounts is None:
+        if self.uses_accounts and table.accounts is None:
             return Failure(ErrorKind.NOT_READY, "the client accounts are not known yet")
         host = request.host.lower()
         route = self._view.routes.find(host, request.path)
--- a/fighinge/router/service.py
+++ b/fighinge/router/service.py
@@ -118,6 +118,8 @@
             if wait_s is not None:
                 failure = Failure(ErrorKind.QUOTA_EXCEEDED, "the quota of the account is used up")
                 return self._finish(request, route, version, failure, "", wait_s)
+        elif self._routing.uses_accounts:
+            request = self._codec.with_account(request, "")
         return await self._answer_admitted(request, route, version)
 
     async def _quota_wait_s(
--- a/tests/router/test_client_accounts.py
+++ b/tests/router/test_client_accounts.py
@@ -133,6 +133,19 @@
     run(check())
 
 
+def test_key_is_dropped_where_the_settings_say_that_there_are_accounts():
+    """Guards against a key that reaches servers while a configuration names no account."""
+
+    async def check():
+        router = _router(table(route(), accounts=()))
+        answered = await _send(router, "/single/a", _headers("desk-key", X_Tenant="floor"))
+        assert answered.status == 200
+        assert _sent_accounts(router) == [[]]
+        _assert_no_key_was_sent(router)
+
+    run(check())
+
+
 def test_withdrawn_key_ends_with_the_version_that_withdraws_it():
     async def check():
         router = _router()
