--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -32,7 +32,8 @@
 POLL_INTERVAL_S = 0.03
 ROUTER_COMMAND = (sys.executable, "-S", "fighinge/platform/start.py")  # of deploy/system.toml
 FIRST_NETWORK = int(os.environ.get("FIGHINGE_TEST_NETWORK", "60"))  # differs between parallel runs
-_networks = itertools.count(FIRST_NETWORK)
+END_NETWORK = 250
+_networks = itertools.cycle(range(FIRST_NETWORK, END_NETWORK))
 
 
 class Reply(msgspec.Struct):
