--- a/fighinge/router/scarce_shards.py
+++ b/fighinge/router/scarce_shards.py
@@ -25,12 +25,10 @@
 DEMAND_WINDOW_S = 1.0  # a burst lasts seconds; at ten queries a second, ten tell of it
 SCARCE_UTILISATION = 0.9  # random arrivals queue at a shard long before it is fully used
 STRAIN_RATIO = 0.5  # of the time left; sooner, queries are in time even if others take more calls
-REFUSAL_RATIO = 0.8  # of the time left; at 0.5, queries were refused that all got in time
+REFUSAL_RATIO = 0.8  # of the time left; sooner, queries that could be in time are refused
 PROBE_INTERVAL_S = 0.3  # with a time-out of 0.4 s, a recovery is noticed within a second
-BURST_FACTOR = 0.35  # of one call and the own slots; with 0.5, more are late, with 0.2 refused
-SLACK_FACTOR = (
-    2.0  # routers' calls do not coincide; with 1.0, more are refused that could be in time
-)
+BURST_FACTOR = 0.35  # of one call and the own slots, as arrivals are random
+SLACK_FACTOR = 2.0  # the calls of different routers seldom coincide
 MAX_RETURN_S = 1.0  # callers that are told to wait longer than their deadline give up
 GOLDEN_RATIO = (math.sqrt(5) - 1) / 2  # its multiples modulo 1 are evenly spread
 MAX_SHARDS = 4096  # bounds the memory; beyond this, the history of all shards is reset
