Leave out shards that are in time only if some kind of query cannot leave out all

Queries left out shards that would have answered in time although every kind could do without them, and a connection of 27 ms counted as slow, which busy servers exceed while all their slots are taken; a second connection then took a slot elsewhere.

In-time shards are now left out only if more lack capacity than some kind may leave out, and another server is tried after 70 ms.

--- a/fighinge/router/connection_doubt.py
+++ b/fighinge/router/connection_doubt.py
@@ -13,9 +13,9 @@
 
     from fighinge.router.backend import Backend
 
-USUAL_HANDSHAKE_S = 0.006
-INTER_ZONE_RTT_S = 0.003
-SLOW_CONNECTION_S = 3 * (USUAL_HANDSHAKE_S + INTER_ZONE_RTT_S)  # above any usual handshake
+# A busy server accepts a connection only when a slot is free, and a second one elsewhere takes a
+# slot there too; one that cannot be reached accepts none within any time.
+SLOW_CONNECTION_S = 0.07
 PENDING_S = 0.4  # by then the connection has timed out, which is recorded as a failure
 
 
--- a/fighinge/router/scarce_shards.py
+++ b/fighinge/router/scarce_shards.py
@@ -119,10 +119,11 @@
 class ScarceShards:
     """Plans the shards of each query by the calls that this router has sent to them."""
 
-    __slots__ = ("_histories",)
+    __slots__ = ("_histories", "_least_left_out")
 
     def __init__(self) -> None:
         self._histories: dict[str, _History] = {}
+        self._least_left_out = MAX_SHARDS  # by any kind of query
 
     def plan(self, shards: Sequence[ShardLoad], needs: QueryNeeds, now_s: float) -> ShardPlan:
         """Decide which shards a query leaves out, and count its calls to the others.
@@ -130,7 +131,9 @@
         Without a reachable server, a shard is left out. Of the shards that are expected to be late,
         and of those without enough capacity, a query leaves out as many as it may: first the one
         whose next call is the last to be answered, which changes with each call. A query that may
-        leave out all of them calls only those that are in time and without a backlog.
+        leave out all of them calls only those that are in time and without a backlog. If every kind
+        of query may leave out all of them, it calls all that are in time, as a part that it lacks
+        costs its answer more than the wait for it.
         """
         candidates = self._candidates(shards, needs, now_s)
         left_out = candidates[: max(0, needs.max_left_out)]
@@ -155,6 +158,7 @@
             self._histories.clear()
         missing: list[ShardLoad] = []
         short: list[tuple[float, ShardLoad]] = []
+        in_time: list[ShardLoad] = []
         idle: list[ShardLoad] = []
         for load in shards:
             history = self._histories.setdefault(load.name, _History(now_s))
@@ -166,13 +170,18 @@
             if is_late or (history.is_scarce(load) and _is_late(load, needs, STRAIN_RATIO)):
                 expected_s = load.call_s if load.expected_s is None else load.expected_s
                 short.append((history.drain_s(load) + expected_s, load))
-                if not is_late and history.backlog_s <= 0:
-                    idle.append(load)
+                if not is_late:
+                    in_time.append(load)
+                    if history.backlog_s <= 0:
+                        idle.append(load)
         short.sort(key=lambda item: item[0], reverse=True)
         candidates = missing + [load for _, load in short]
+        self._least_left_out = min(self._least_left_out, needs.max_left_out)
         if len(candidates) > needs.max_left_out:
             return candidates
-        return [load for load in candidates if load not in idle]
+        is_scarce_for_others = len(candidates) > self._least_left_out
+        kept = idle if is_scarce_for_others else in_time
+        return [load for load in candidates if load not in kept]
 
     def _refusal_s(self, needed: list[ShardLoad], needs: QueryNeeds, now_s: float) -> float | None:
         """Return when a query may return if shards that it needs cannot answer it in time.
