Manage load by priorities alone, and balance scarce shards only by an option

Cause: backend servers of earlier deployments state a fourth figure too, which turned load management on there.

LoadPolicy follows the priorities of the active table. The decisions on scarce shards need the option balance-shards of the settings file. The stand-in servers of the load tests answer trial connections.

--- a/fighinge/platform/settings.py
+++ b/fighinge/platform/settings.py
@@ -62,6 +62,12 @@
     quota_slack: Number = 0.0
 
 
+class _RouterOptions(_Section):
+    """Options of the router, which the platform does not set."""
+
+    balance_shards: bool = False
+
+
 class _Tolerate(_Section):
     machines: Number = 2
 
@@ -85,6 +91,7 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
     contracts: list[str] = []
+    router_options: _RouterOptions = msgspec.field(default_factory=_RouterOptions)
 
 
 def settings_path() -> Path | Failure:
@@ -135,6 +142,7 @@
         link_bits_per_s=raw.limits.link_mbps * 1e6,
         tolerated_host_losses=int(raw.tolerate.machines),
         uses_accounts=ACCOUNTS_CONTRACT in raw.contracts,
+        may_balance_shards=raw.router_options.balance_shards,
         quota_window_s=bounds.quota_window_s,
         quota_overage=bounds.quota_overage,
         quota_slack=bounds.quota_slack,
--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -21,7 +21,6 @@
     from fighinge.router.decision_log import DecisionLog
     from fighinge.router.exchange import ServerStatement
     from fighinge.router.heard_reports import HeardReport
-    from fighinge.router.load_policy import LoadPolicy
     from fighinge.router.model import BackendRecord
     from fighinge.router.rate_share import RouterShare
     from fighinge.router.server_reports import Condition
@@ -81,7 +80,6 @@
         log: DecisionLog,
         router_share: RouterShare,
         now_s: float,
-        load_policy: LoadPolicy | None = None,
     ) -> None:
         self.record = record
         self._log = log
@@ -100,7 +98,7 @@
         self._last_call_number = 0
         self._health = ObservedHealth()
         self.troubled: set[Backend] = set()  # shared by the servers that this router calls
-        self._stated_load = StatedLoad(log, load_policy)
+        self._stated_load = StatedLoad(log)
         self._down_until_s = float("-inf")
         self._down_backoff_s = MIN_DOWN_BACKOFF_S
         self._shed_until_s = float("-inf")
--- a/fighinge/router/gather.py
+++ b/fighinge/router/gather.py
@@ -260,7 +260,7 @@
 
     def _plan_shards(self, shards: list[Service]) -> bool:
         """Decide which shards to skip and to probe, and return whether the query is admitted."""
-        if not self._pool.load_policy.is_on:
+        if not self._pool.load_policy.balances_shards:
             self.skipped_shards = self._late_shards(shards)
             self._excluded = frozenset(self.skipped_shards)
             return True
--- a/fighinge/router/load_policy.py
+++ b/fighinge/router/load_policy.py
@@ -1,4 +1,4 @@
-"""Whether load management applies to the active configuration and its backend servers.
+"""Which parts of load management apply to the active configuration.
 
 Made for deployments in which callers compete for insufficient capacity; others are served as they
 were before load management existed.
@@ -16,24 +16,25 @@
 
 
 class LoadPolicy:
-    """Tells whether load management is on.
+    """Tells whether load management is on, by the priorities of the active configuration.
 
-    That a backend server has stated its slowness holds for the life of the process, as a server
-    that states it once does so in each answer.
+    ``may_balance_shards`` is a setting of the operator: queries then leave out different shards
+    while several lack capacity, and are refused if they cannot be in time. It is off by default, as
+    fewer callers were answered in time with it on the users' deployments.
     """
 
-    __slots__ = ("_has_highest_priority", "_is_slowness_stated", "_log", "_table")
+    __slots__ = ("_log", "_table", "is_on", "may_balance_shards")
 
-    def __init__(self, log: DecisionLog) -> None:
+    def __init__(self, log: DecisionLog, *, may_balance_shards: bool = False) -> None:
         self._log = log
         self._table: RoutingTable | None = None
-        self._has_highest_priority = False
-        self._is_slowness_stated = False
+        self.is_on = False
+        self.may_balance_shards = may_balance_shards
 
     @property
-    def is_on(self) -> bool:
-        """Return whether a priority or the statement of a backend server calls for it."""
-        return self._has_highest_priority or self._is_slowness_stated
+    def balances_shards(self) -> bool:
+        """Return whether queries leave out different shards while several lack capacity."""
+        return self.is_on and self.may_balance_shards
 
     def update(self, table: RoutingTable | None) -> None:
         """Follow the active routing table, of which there may be none."""
@@ -41,24 +42,14 @@
             return
         was_on = self.is_on
         self._table = table
-        self._has_highest_priority = table is not None and has_highest_priority(table)
-        self._log_change(was_on, "priorities of the configuration")
-
-    def record_stated_slowness(self) -> None:
-        """Record that a backend server has stated its slowness."""
-        was_on = self.is_on
-        self._is_slowness_stated = True
-        self._log_change(was_on, "a backend server states its slowness")
-
-    def _log_change(self, was_on: bool, cause: str) -> None:
-        if self.is_on == was_on:
-            return
-        self._log.write(
-            "load management",
-            is_on=self.is_on,
-            cause=cause,
-            configuration_version=self._table.version if self._table else 0,
-        )
+        self.is_on = table is not None and has_highest_priority(table)
+        if self.is_on != was_on:
+            self._log.write(
+                "load management",
+                is_on=self.is_on,
+                balances_shards=self.balances_shards,
+                configuration_version=table.version if table else 0,
+            )
 
 
 def has_highest_priority(table: RoutingTable) -> bool:
--- a/fighinge/router/pool.py
+++ b/fighinge/router/pool.py
@@ -207,7 +207,7 @@
         backend = self._unlisted.pop((record.instance_id, record.started_ms), None)
         is_known = backend is not None
         if backend is None:
-            backend = Backend(record, self._view.log, self._share, now_s, self.load_policy)
+            backend = Backend(record, self._view.log, self._share, now_s)
             backend.troubled = self._troubled
             self._record_run(record, now_s)
         if previous is not None:
--- a/fighinge/router/process.py
+++ b/fighinge/router/process.py
@@ -106,6 +106,7 @@
         cold_limits = ColdLimits(settings.cold_rate_factor, settings.cold_rate_slack)
         own_address = RouterAddress(settings.address, settings.zone)
         self.pool = BackendPool(self.view, own_address, budget_limits, cold_limits, self._random)
+        self.pool.load_policy.may_balance_shards = settings.may_balance_shards
         self.calls = PooledBackendCalls.create(settings.address)
         self._staleness = StalenessDetector(self.view, steady_clock)
         self.peers = Peers(settings, steady_clock, time.time, self._random, self._staleness)
--- a/fighinge/router/settings.py
+++ b/fighinge/router/settings.py
@@ -16,7 +16,8 @@
 
     ``memory_bytes`` and ``max_descriptors`` are the limits of this process, ``link_bits_per_s`` the
     bandwidth of its host. ``tolerated_host_losses`` is how many hosts may fail at once.
-    ``uses_accounts`` says that the configuration names client accounts. The quota settings bound
+    ``uses_accounts`` says that the configuration names client accounts. ``may_balance_shards``
+    lets queries leave out different shards while several lack capacity. The quota settings bound
     the requests of an account in any ``quota_window_s``, summed over all routers: what its rate and
     burst allow, times ``1 + quota_overage``, plus ``quota_slack``.
     """
@@ -47,6 +48,7 @@
     link_bits_per_s: float = 1e9
     tolerated_host_losses: int = 2
     uses_accounts: bool = False
+    may_balance_shards: bool = False
     quota_window_s: float = 5.0
     quota_overage: float = 0.0
     quota_slack: float = 0.0
--- a/fighinge/router/stated_load.py
+++ b/fighinge/router/stated_load.py
@@ -9,7 +9,6 @@
 if TYPE_CHECKING:
     from fighinge.router.decision_log import DecisionLog
     from fighinge.router.exchange import BackendResponse
-    from fighinge.router.load_policy import LoadPolicy
     from fighinge.router.model import BackendRecord
 
 LOAD_REPORT_TTL_S = 0.25  # a reported load describes only the moment of the response
@@ -19,15 +18,10 @@
 class StatedLoad:
     """Keeps the latest statement of one server with its time."""
 
-    __slots__ = ("_log", "_policy", "_running", "_slowness_ratio", "_stated_s", "_unreadable_s")
+    __slots__ = ("_log", "_running", "_slowness_ratio", "_stated_s", "_unreadable_s")
 
-    def __init__(self, log: DecisionLog, policy: LoadPolicy | None) -> None:
-        """Initialise without a statement.
-
-        :param policy: learns that a server states its slowness
-        """
+    def __init__(self, log: DecisionLog) -> None:
         self._log = log
-        self._policy = policy
         self._running = 0
         self._slowness_ratio: float | None = None
         self._stated_s = float("-inf")
@@ -42,8 +36,6 @@
         self._running = response.load.running + response.load.waiting
         self._stated_s = now_s
         self._slowness_ratio = response.load.slowness_ratio
-        if self._slowness_ratio is not None and self._policy is not None:
-            self._policy.record_stated_slowness()
 
     def requests(self, now_s: float) -> int:
         """Return the number of requests that run and wait, 0 if the statement is too old."""
--- a/tests/router/load_builders.py
+++ b/tests/router/load_builders.py
@@ -109,6 +109,10 @@
         except TimeoutError:
             return CallFailure(CallFault.TIMEOUT, "no answer in time")
 
+    async def accepts_connections(self, address: Address) -> bool:
+        """Return that a connection fails: only unreachable servers are tried without a request."""
+        return False
+
     async def _serve(self, name: str, work_s: float):
         queue = self._queues.setdefault(name, deque())
         if self._running.setdefault(name, 0) >= self._slots:
@@ -151,6 +155,7 @@
     routers = []
     for number in range(count):
         router = RouterFixture(budget_slack=198.0, links_seed=number, clock=advancing_clock())
+        router.pool.load_policy.may_balance_shards = True
         router.call_runner._calls = servers
         hosts = frozenset(f"10.0.0.{other + 1}" for other in range(count))
         router.pool.set_limit_share(0.85 / count, hosts, router.clock())
--- a/tests/router/test_gather.py
+++ b/tests/router/test_gather.py
@@ -334,6 +334,7 @@
 
     async def send():
         router = RouterFixture()
+        router.pool.load_policy.may_balance_shards = True
         plan = gather_route(SHARDS, priority=0)
         router.publish(table(plan), *shard_backend_records(SHARDS))
         router.set_typical_latency("all")
