--- a/fighinge/connection_limit.py
+++ b/fighinge/connection_limit.py
@@ -13,7 +13,7 @@
 
 DESCRIPTOR_SHARE = 0.5  # the rest is for backend servers, peers, the store and closing sockets
 MEMORY_SHARE = 0.1
-CONNECTION_BYTES = 8 * 1024  # 7 KB measured for an idle connection
+CONNECTION_BYTES = 8 * 1024  # of an idle connection, with the objects of its stream
 REUSE_SHARE = 0.8  # of the idle timeout, after which ordinary callers do not reuse a connection
 
 
--- a/fighinge/entry/bounded_server.py
+++ b/fighinge/entry/bounded_server.py
@@ -21,9 +21,7 @@
 
 logger = logbook.Logger(__name__)
 
-MAX_HELD_BYTES = (
-    64 * 1024 * 1024
-)  # 64 requests at the limit of one body; an entry takes 60 MB itself
+MAX_HELD_BYTES = 64 * 1024 * 1024  # 64 bodies at the limit, about what an entry itself takes
 MIN_LOG_INTERVAL_S = 1.0
 
 
--- a/fighinge/router/backend.py
+++ b/fighinge/router/backend.py
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     from fighinge.router.decision_log import DecisionLog
     from fighinge.router.exchange import ServerStatement
-    from fighinge.router.heard_reports import HeardReport
     from fighinge.router.model import BackendRecord
     from fighinge.router.rate_share import RouterShare
+    from fighinge.router.received_reports import ReceivedReport
     from fighinge.router.server_reports import Condition
 
 MIN_DOWN_BACKOFF_S = 0.4  # a process restarts within about a second
@@ -228,9 +228,9 @@
         """Return the fraction of recent calls that gave no usable answer."""
         return self._health.failure_rate(now_s)
 
-    def hear(self, report: HeardReport, now_s: float) -> None:
+    def record_report(self, report: ReceivedReport, now_s: float) -> None:
         """Take in what another router has observed of this run of the server."""
-        self._health.hear(report, now_s)
+        self._health.record_report(report, now_s)
 
     def is_in_doubt(self, now_s: float) -> bool:
         """Return whether the server may be unreachable, by own calls or reports of others."""
--- a/fighinge/router/caller_guard.py
+++ b/fighinge/router/caller_guard.py
@@ -36,6 +36,7 @@
 RETRY_AFTER_FULL_S = 0.3  # requests in service take less, and other routers have room
 HEADER_TOO_LARGE_STATUS = 431
 RECEIVING = (Phase.IDLE, Phase.HEADER, Phase.BODY)
+TIMEOUT_REASONS = {Phase.HEADER: "header_timeout", Phase.BODY: "body_timeout"}
 
 
 class CallerGuard:
@@ -167,7 +168,7 @@
             stream.timer = None
         stream.phase = phase
         if timeout_s:
-            reason = f"{phase.value}_timeout"
+            reason = TIMEOUT_REASONS[phase]
             loop = asyncio.get_running_loop()
             stream.timer = loop.call_later(timeout_s, self._refuse, stream, reason, None)
 
--- a/fighinge/router/observed_health.py
+++ b/fighinge/router/observed_health.py
@@ -5,12 +5,12 @@
 import math
 from typing import TYPE_CHECKING
 
-from fighinge.router.heard_reports import HeardReports
+from fighinge.router.received_reports import ReceivedReports
 from fighinge.router.server_reports import ANSWERING, UNCERTAIN, UNREACHABLE, Condition
 
 if TYPE_CHECKING:
-    from fighinge.router.heard_reports import HeardReport
     from fighinge.router.model import BackendRecord
+    from fighinge.router.received_reports import ReceivedReport
 
 SLOWNESS_EWMA_WEIGHT = 0.3  # three calls distinguish a slow phase from one pause
 MAX_SLOWNESS = 30.0  # above any slow phase; bounds the time until it has decayed
@@ -24,14 +24,14 @@
 class ObservedHealth:
     """Moving averages of the results of calls, which decay while there are none.
 
-    Own observations never include what was heard, so that a router does not repeat it.
+    Own observations never include what was received, so that a router does not repeat it.
     """
 
     __slots__ = (
         "_answered_s",
         "_failure_observed_s",
         "_failure_rate",
-        "_heard",
+        "_received",
         "_returned_s",
         "_slowness",
         "_slowness_observed_s",
@@ -46,20 +46,20 @@
         self._answered_s = float("-inf")
         self._unreachable_s = float("-inf")
         self._returned_s = float("-inf")
-        self._heard: HeardReports | None = None
+        self._received: ReceivedReports | None = None
 
-    def hear(self, report: HeardReport, now_s: float) -> None:
+    def record_report(self, report: ReceivedReport, now_s: float) -> None:
         """Take in what another router has observed."""
-        if self._heard is None:
-            self._heard = HeardReports()
-        self._heard.add(report, now_s)
+        if self._received is None:
+            self._received = ReceivedReports()
+        self._received.add(report, now_s)
 
     def slowness(self, now_s: float) -> float:
         """Return the ratio of the server's latency to the typical one."""
         own = self.own_slowness(now_s)
-        if self._heard is None:
+        if self._received is None:
             return own
-        return self._heard.slowness(own, self._slowness_observed_s, now_s)
+        return self._received.slowness(own, self._slowness_observed_s, now_s)
 
     def own_slowness(self, now_s: float) -> float:
         """Return the slowness by own observations."""
@@ -71,10 +71,10 @@
     def failure_rate(self, now_s: float) -> float:
         """Return the fraction of recent calls that gave no usable answer."""
         own = self._own_failure_rate(now_s)
-        if self._heard is None:
+        if self._received is None:
             return own
-        heard = self._heard.failing_share(own, self._failure_observed_s, now_s)
-        return min(MAX_FAILURE_RATE, heard)
+        received = self._received.failing_share(own, self._failure_observed_s, now_s)
+        return min(MAX_FAILURE_RATE, received)
 
     def _own_failure_rate(self, now_s: float) -> float:
         if not self._failure_rate:
@@ -101,7 +101,7 @@
         :param was_unproven: whether this router found it unreachable and had no answer since
         """
         self._answered_s = now_s
-        is_refuted = self._heard is not None and self._heard.refute(now_s, now_s)
+        is_refuted = self._received is not None and self._received.refute(now_s, now_s)
         if is_refuted or was_unproven:
             self._returned_s = now_s
         return is_refuted or was_unproven
@@ -120,10 +120,10 @@
 
         :param is_unproven: whether this router found it unreachable and got no answer since
         """
-        heard = self._heard
-        if is_unproven and (heard is None or heard.proven_s <= self._unreachable_s):
+        received = self._received
+        if is_unproven and (received is None or received.proven_s <= self._unreachable_s):
             return True
-        return heard is not None and heard.is_unreachable(self._answered_s, now_s)
+        return received is not None and received.is_unreachable(self._answered_s, now_s)
 
     def condition(self, record: BackendRecord, now_s: float, *, is_unproven: bool) -> Condition:
         """Return the own observations, for other routers."""
--- a/fighinge/router/heard_reports.py
+++ b/fighinge/router/received_reports.py
@@ -28,7 +28,7 @@
 OUT_OF_ORDER_S = 0.05  # the ages of two reports differ by the delays of their datagrams
 
 
-class HeardReport(msgspec.Struct, frozen=True):
+class ReceivedReport(msgspec.Struct, frozen=True):
     """A report as its receiver takes it in.
 
     ``origin`` is the router that has observed it itself, ``is_near`` whether that is in the
@@ -51,13 +51,13 @@
         return self.state == UNREACHABLE or self.failing_share >= FAILING_SHARE
 
 
-class _Held(msgspec.Struct, frozen=True):
-    report: HeardReport
+class _KeptReport(msgspec.Struct, frozen=True):
+    report: ReceivedReport
     observed_s: float
     expires_s: float
 
 
-class HeardReports:
+class ReceivedReports:
     """What other routers have reported of one run of a server, the last of each router.
 
     Reports with failures count only if they come from the own data centre or from two others: one
@@ -65,27 +65,27 @@
     router, or to another one of this data centre, is not believed for a while.
     """
 
-    __slots__ = ("_distrusted_until_s", "_expires_s", "_held", "proven_s")
+    __slots__ = ("_distrusted_until_s", "_expires_s", "_kept", "proven_s")
 
     def __init__(self) -> None:
-        self._held: dict[str, _Held] = {}
+        self._kept: dict[str, _KeptReport] = {}
         self._expires_s = float("-inf")
         self._distrusted_until_s: dict[str, float] = {}
         self.proven_s = float("-inf")
 
-    def add(self, report: HeardReport, now_s: float) -> None:
+    def add(self, report: ReceivedReport, now_s: float) -> None:
         """Take in a report, unless it is too old or came out of order."""
         observed_s = now_s - report.age_s
-        held = self._held.get(report.origin)
+        held = self._kept.get(report.origin)
         if report.age_s > MAX_OBSERVATION_AGE_S:
             return
         if held is not None and observed_s < held.observed_s - OUT_OF_ORDER_S:
             return
-        self._held.pop(report.origin, None)
-        if len(self._held) >= MAX_ORIGINS:
-            del self._held[next(iter(self._held))]
+        self._kept.pop(report.origin, None)
+        if len(self._kept) >= MAX_ORIGINS:
+            del self._kept[next(iter(self._kept))]
         self._expires_s = now_s + REPORT_TTL_S
-        self._held[report.origin] = _Held(report, observed_s, self._expires_s)
+        self._kept[report.origin] = _KeptReport(report, observed_s, self._expires_s)
         if report.state == ANSWERING and not report.tells_failures:
             self.proven_s = max(self.proven_s, observed_s)
             if report.is_near:
@@ -98,13 +98,13 @@
         """
         refuted = [
             held.report.origin
-            for held in self._held.values()
+            for held in self._kept.values()
             if held.report.state == UNREACHABLE
             and held.observed_s < answered_s
             and now_s < held.expires_s
         ]
         for origin in refuted:
-            del self._held[origin]
+            del self._kept[origin]
             self._distrusted_until_s[origin] = now_s + DISTRUST_S
         while len(self._distrusted_until_s) > MAX_ORIGINS:
             del self._distrusted_until_s[next(iter(self._distrusted_until_s))]
@@ -140,12 +140,12 @@
             for held in self._credible(now_s)
         )
 
-    def _credible(self, now_s: float) -> list[_Held]:
+    def _credible(self, now_s: float) -> list[_KeptReport]:
         if now_s >= self._expires_s:
             return []
         current = [
             held
-            for held in self._held.values()
+            for held in self._kept.values()
             if now_s < held.expires_s
             and not (
                 held.report.tells_failures
--- a/fighinge/router/server_report_exchange.py
+++ b/fighinge/router/server_report_exchange.py
@@ -10,8 +10,8 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
-from fighinge.router.heard_reports import HeardReport
 from fighinge.router.metrics import SERVER_REPORTS
+from fighinge.router.received_reports import ReceivedReport
 from fighinge.router.server_reports import (
     SLOW_RATIO,
     ReportPlan,
@@ -38,7 +38,7 @@
 
 
 class ServerReportExchange:
-    """The reports that this router sends and hears, where load management is on.
+    """The reports that this router sends and receives, where load management is on.
 
     Routers without callers heed reports too, but try servers in doubt as before: they get no
     reports.
@@ -95,7 +95,7 @@
         self._probed: dict[Backend, int] = {}
         self._accepted: dict[Backend, int] = {}
         self._probes: set[asyncio.Task] = set()
-        channel.handle(ServerReports, lambda message, host: self._hear(message, host, clock()))
+        channel.handle(ServerReports, lambda message, host: self._receive(message, host, clock()))
         pool.is_excluded = self.is_excluded
 
     def close(self) -> None:
@@ -157,22 +157,22 @@
         for router in receivers:
             self._channel.send(router.host, message)
 
-    def _hear(self, message: ServerReports, host: str, now_s: float) -> None:
+    def _receive(self, message: ServerReports, host: str, now_s: float) -> None:
         if not self._pool.load_policy.is_on or host == self._own.host:
             return
         self._refresh_carrying(now_s)
         for report in message.reports:
             backend = self._pool.find_run(report.instance_id, report.started_ms)
-            SERVER_REPORTS.labels("heard" if backend else "unknown_server").inc()
+            SERVER_REPORTS.labels("received" if backend else "unknown_server").inc()
             if backend is not None:
-                self._hear_report(backend, report, message.zone, host, now_s)
+                self._apply_report(backend, report, message.zone, host, now_s)
 
-    def _hear_report(
+    def _apply_report(
         self, backend: Backend, report: ServerReport, zone: str, host: str, now_s: float
     ) -> None:
         was_in_doubt = backend.is_in_doubt(now_s)
         was_slow = backend.slowness(now_s) >= SLOW_RATIO
-        heard = HeardReport(
+        received = ReceivedReport(
             backend.record.service,
             backend.record.run_name,
             max(1.0, report.slowness_tenths / 10),
@@ -183,7 +183,7 @@
             zone,
             zone == self._own.zone,
         )
-        backend.hear(heard, now_s)
+        backend.record_report(received, now_s)
         is_in_doubt = backend.is_in_doubt(now_s)
         is_slow = backend.slowness(now_s) >= SLOW_RATIO
         if is_in_doubt:
@@ -192,13 +192,13 @@
             self._log.write(
                 "backend server reported",
                 backend=backend.record.instance_id,
-                service=heard.service,
+                service=received.service,
                 peer=host,
                 zone=zone,
-                age_s=heard.age_s,
-                reported_slowness=heard.slowness,
-                reported_failing=heard.failing_share,
-                state=heard.state,
+                age_s=received.age_s,
+                reported_slowness=received.slowness,
+                reported_failing=received.failing_share,
+                state=received.state,
                 in_doubt=is_in_doubt,
                 slow=is_slow,
             )
--- a/fighinge/router/server_reports.py
+++ b/fighinge/router/server_reports.py
@@ -37,7 +37,7 @@
 DATAGRAM_OVERHEAD_BYTES = 28 + 24  # of IP and UDP, and of the message around the reports
 MAX_REPORTS_BYTES = 1300  # fits with the message around it in one datagram
 REPEAT_LEVEL = 0.5  # of the burst; below, what remains is kept for changes
-MAX_RECEIVERS = 12  # with 24, the budget left room for 4 reports a second to each
+MAX_RECEIVERS = 12  # with more, the budget has room for few reports to each
 MAX_NEAR_RECEIVERS = 8  # of the own data centre; others learn of its servers too
 
 ANSWERING = 0
--- a/tests/router/test_mixed_versions.py
+++ b/tests/router/test_mixed_versions.py
@@ -1,7 +1,7 @@
 """Tests that routers of this build and of those in production read each other's messages.
 
 ``messages_COMMIT.json`` has the messages of ``peer_messages`` as that commit encoded them. Routers
-of ca2e048 do not know the store's eras, those of 3f186fd do.
+of ca2e048 do not know the store's eras, those of 3f186fd do, and none knows client accounts.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from fighinge.membership.messages import CHECKSUM_BYTES, MAGIC, Codec
 from tests.router.peer_messages import datagrams, encoded_messages, peer_messages
 
-HAS_ERAS = {"ca2e048": False, "3f186fd": True}
+HAS_ERAS = {"ca2e048": False, "3f186fd": True, "a7cfcc9": True}
 
 
 def _read_messages(build: str) -> dict[str, bytes]:
--- a/tests/router/test_server_reports.py
+++ b/tests/router/test_server_reports.py
@@ -15,9 +15,14 @@
 from fighinge.router.addresses import RouterAddress
 from fighinge.router.backend import MIN_DOWN_BACKOFF_S
 from fighinge.router.changes import BackendListed, TablePublished
-from fighinge.router.heard_reports import DISTRUST_S, REPORT_TTL_S, HeardReport, HeardReports
 from fighinge.router.peer_channel import MAX_DATAGRAM_BYTES, PeerChannel
 from fighinge.router.pool import BackendPool
+from fighinge.router.received_reports import (
+    DISTRUST_S,
+    REPORT_TTL_S,
+    ReceivedReport,
+    ReceivedReports,
+)
 from fighinge.router.retry_budget import RetryBudgetLimits
 from fighinge.router.server_report_exchange import MAX_FOLLOWED, ServerReportExchange
 from fighinge.router.server_reports import (
@@ -237,11 +242,11 @@
         for _ in range(6):
             fleet["z1-0"].record("i0", ratio=9.0)
         await fleet.run_for(0.3)
-        heard = fleet["z1-1"].backend("i0")
-        assert heard.slowness(fleet.network.now_s) > 2.5
+        received = fleet["z1-1"].backend("i0")
+        assert received.slowness(fleet.network.now_s) > 2.5
         del fleet.routers["z1-0"]
         await fleet.run_for(1.3)
-        assert heard.slowness(fleet.network.now_s) == 1.0
+        assert received.slowness(fleet.network.now_s) == 1.0
 
     _play(play)
 
@@ -277,7 +282,7 @@
     _play(play)
 
 
-def test_heard_reports_are_not_passed_on():
+def test_received_reports_are_not_passed_on():
     """Guards against routers that keep a report alive among themselves."""
 
     async def play(fleet):
@@ -571,35 +576,35 @@
 
 def test_refuted_router_is_not_believed_until_a_while_later():
     """Guards against a doubt that returns with each report of a router with a broken link."""
-    heard = HeardReports()
-    heard.add(_heard("a", state=UNREACHABLE), 10.0)
-    assert heard.is_unreachable(9.9, 10.0)
-    assert heard.refute(10.1, 10.1)
-    heard.add(_heard("a", state=UNREACHABLE), 10.3)
-    assert not heard.is_unreachable(10.1, 10.3)
-    heard.add(_heard("b", state=UNREACHABLE), 10.4)
-    assert heard.is_unreachable(10.1, 10.4)
-    heard.add(_heard("a", state=UNREACHABLE), 10.2 + DISTRUST_S)
-    assert heard.is_unreachable(10.1, 10.2 + DISTRUST_S)
+    received = ReceivedReports()
+    received.add(_received("a", state=UNREACHABLE), 10.0)
+    assert received.is_unreachable(9.9, 10.0)
+    assert received.refute(10.1, 10.1)
+    received.add(_received("a", state=UNREACHABLE), 10.3)
+    assert not received.is_unreachable(10.1, 10.3)
+    received.add(_received("b", state=UNREACHABLE), 10.4)
+    assert received.is_unreachable(10.1, 10.4)
+    received.add(_received("a", state=UNREACHABLE), 10.2 + DISTRUST_S)
+    assert received.is_unreachable(10.1, 10.2 + DISTRUST_S)
 
 
 def test_late_reports_are_ignored():
-    heard = HeardReports()
-    old = _heard("a", age_s=MAX_OBSERVATION_AGE_S + 0.1, state=UNREACHABLE)
-    heard.add(old, 10.0)
-    assert not heard.is_unreachable(0.0, 10.0)
-    heard.add(_heard("a", slowness=1.0, age_s=0.0), 10.0)
-    heard.add(_heard("a", slowness=9.0, age_s=1.0), 10.1)
-    assert heard.slowness(1.0, 0.0, 10.1) == 1.0
+    received = ReceivedReports()
+    old = _received("a", age_s=MAX_OBSERVATION_AGE_S + 0.1, state=UNREACHABLE)
+    received.add(old, 10.0)
+    assert not received.is_unreachable(0.0, 10.0)
+    received.add(_received("a", slowness=1.0, age_s=0.0), 10.0)
+    received.add(_received("a", slowness=9.0, age_s=1.0), 10.1)
+    assert received.slowness(1.0, 0.0, 10.1) == 1.0
 
 
 def test_one_wrong_report_of_slowness_counts_half_and_more_of_them_nearly_all():
-    heard = HeardReports()
-    heard.add(_heard("a", slowness=9.0), 10.0)
-    assert heard.slowness(1.0, 0.0, 10.0) == 5.0
+    received = ReceivedReports()
+    received.add(_received("a", slowness=9.0), 10.0)
+    assert received.slowness(1.0, 0.0, 10.0) == 5.0
     for origin in ("b", "c"):
-        heard.add(_heard(origin, slowness=9.0), 10.0)
-    assert heard.slowness(1.0, 0.0, 10.0) == 8.0
+        received.add(_received(origin, slowness=9.0), 10.0)
+    assert received.slowness(1.0, 0.0, 10.0) == 8.0
 
 
 def test_trial_turn_changes_each_second_over_all_routers():
@@ -621,5 +626,5 @@
     } == {router.host for router in carrying if router != own}
 
 
-def _heard(origin: str, *, slowness=1.0, state=ANSWERING, age_s=0.0) -> HeardReport:
-    return HeardReport("s0", "i0@1", slowness, 0.0, state, age_s, origin, "z1", True)
+def _received(origin: str, *, slowness=1.0, state=ANSWERING, age_s=0.0) -> ReceivedReport:
+    return ReceivedReport("s0", "i0@1", slowness, 0.0, state, age_s, origin, "z1", True)
